--- /dev/null
+++ b/cmd/gateway/main.go
@@ -0,0 +1,20 @@
+// Command gateway answers the callers of a platform and decides about their
+// requests. It runs on the entry VMs.
+//
+// # Usage
+//
+//	gateway --settings gateway.json
+//	gateway --settings gateway.json --check
+//
+// Without --settings, KNAPWEEDPULLEY_CONFIG names the settings file.
+package main
+
+import (
+	"os"
+
+	"github.com/knapweedpulley/knapweedpulley/program"
+)
+
+func main() {
+	os.Exit(program.Run[Settings]("gateway", "Answers the callers of a platform.", start))
+}
--- /dev/null
+++ b/cmd/gateway/process.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/contract"
+	"github.com/knapweedpulley/knapweedpulley/engine/exchange"
+	"github.com/knapweedpulley/knapweedpulley/fleet"
+	"github.com/knapweedpulley/knapweedpulley/gateway"
+	"github.com/knapweedpulley/knapweedpulley/installation"
+	"github.com/knapweedpulley/knapweedpulley/link"
+	"github.com/knapweedpulley/knapweedpulley/logbook"
+	"github.com/knapweedpulley/knapweedpulley/machine"
+	"github.com/knapweedpulley/knapweedpulley/metric"
+	"github.com/knapweedpulley/knapweedpulley/placement"
+	"github.com/knapweedpulley/knapweedpulley/platform"
+	"github.com/knapweedpulley/knapweedpulley/program"
+	"github.com/knapweedpulley/knapweedpulley/store"
+	"github.com/knapweedpulley/knapweedpulley/web"
+)
+
+const (
+	// leastGrace is the shortest time in which a gateway can stop in an orderly
+	// way.
+	leastGrace = 3 * time.Second
+	// deregister is the time in which the platform's balancer takes a gateway
+	// out: it asks once a second and goes by the second miss.
+	deregister = 2500 * time.Millisecond
+	// lastEnd is the time kept between the last answer and SIGKILL.
+	lastEnd = 700 * time.Millisecond
+	// headerTimeout, idleTimeout and maxHeader bound what callers may do before
+	// a request is read; the platform's limits are within them.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	maxHeader     = int(64 * knapweedpulley.KiB)
+	// sweepPeriod is the time between two sweeps of unused connections.
+	sweepPeriod = 2 * time.Second
+	// dividePeriod is the time between two counts of the gateways.
+	dividePeriod = 500 * time.Millisecond
+	// memoryPart is the part of the machine's memory that the collector aims
+	// to stay below; gcPercent saves processor time, which costs more.
+	memoryPart = 0.6
+	gcPercent  = 300
+	// bytesPerMB is the platform's unit of memory.
+	bytesPerMB = 1_000_000
+)
+
+// process is a running gateway.
+type process struct {
+	settings   Settings
+	log        log.Interface
+	cleanups   []knapweedpulley.Cleanup
+	follower   *installation.Follower
+	fleet      *fleet.Fleet
+	placer     *placement.Placer
+	allowances *contract.Allowances
+	budget     *gateway.Budget
+	ingress    *platform.Ingress
+	server     *http.Server
+	served     chan struct{}
+	leaving    atomic.Bool
+}
+
+func start(s Settings) (program.Process, error) {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB*bytesPerMB)))
+	lines, flush := logbook.NewQueue(os.Stdout)
+	p := &process{
+		settings: s,
+		log:      logbook.New(lines, logbook.Level(s.LogLevel), "gateway", s.ID),
+		served:   make(chan struct{}),
+	}
+	p.cleanups = append(p.cleanups, flush)
+	if err := p.build(); err != nil {
+		p.log.WithError(err).Error("gateway can't start")
+		p.clean()
+		return program.Process{}, err
+	}
+	p.log.WithField("zone", s.Zone).WithField("callers", s.Callers).Info("gateway started")
+	return program.Process{Cleanup: p.stop, Reload: p.reload}, nil
+}
+
+func (p *process) build() error {
+	clock := machine.NewClock()
+	objects, closeStore, err := store.NewClientOf(p.settings.Store, platform.Codec{})
+	if err != nil {
+		return err
+	}
+	p.cleanups = append(p.cleanups, closeStore)
+	scope, metrics, closeMetrics := metric.New("gateway", p.settings.ID)
+	p.cleanups = append(p.cleanups, closeMetrics)
+	pool, closePool := exchange.NewPool()
+	connections, closeConnections := link.NewConnections(nil)
+	demand, closeDemand := placement.NewDemand()
+	p.cleanups = append(p.cleanups, closePool, closeConnections, closeDemand)
+	p.fleet = fleet.New(clock, p.settings.Zone)
+	p.allowances = contract.NewAllowances(clock, p.settings.Gateways)
+	p.budget = gateway.NewBudget(p.settings.RepeatSlack, p.settings.Gateways)
+	placer, closePlacer := placement.NewPlacer(placement.Options{
+		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Clock: clock, Log: p.log,
+		Port: p.settings.KeeperPort, RemoteLoads: p.settings.RemoteLoads, Gateways: p.settings.Gateways,
+	})
+	p.placer = placer
+	p.cleanups = append(p.cleanups, closePlacer)
+	follower, closeFollower := installation.NewFollower(
+		objects, platform.Translator{}, clock, p.log, p.configure, p.fleet.Update)
+	p.follower = follower
+	p.cleanups = append(p.cleanups, closeFollower)
+	g := gateway.New(gateway.Options{
+		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand, Allowances: p.allowances,
+		Budget: p.budget, Exchanger: platform.NewExchanger(pool), Clock: clock, Log: p.log,
+		Meter: gateway.NewMeter(scope),
+	})
+	p.ingress = platform.NewIngress(g, clock)
+	p.cleanups = append(p.cleanups, p.tick(sweepPeriod, pool.Sweep), p.tick(dividePeriod, p.divide))
+	if err := p.serveOperators(metrics); err != nil {
+		return err
+	}
+	return p.serveCallers()
+}
+
+// configure takes over a configuration that came into force.
+func (p *process) configure(s *installation.Snapshot) {
+	contracts := make([]knapweedpulley.Contract, 0, len(s.Accounts))
+	for _, a := range s.Accounts {
+		contracts = append(contracts, a.Contract)
+	}
+	p.allowances.Configure(contracts)
+	p.placer.Configure(s.Services)
+}
+
+// divide counts the gateways and divides what all have together.
+func (p *process) divide() {
+	n, known := p.fleet.Gateways()
+	if !known {
+		return
+	}
+	p.allowances.Divide(n)
+	p.budget.Divide(n)
+	p.placer.Divide(n)
+}
+
+// tick calls f again and again until the clean-up is called.
+func (p *process) tick(period time.Duration, f func()) knapweedpulley.Cleanup {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() {
+		for machine.Pause(ctx, period) == nil {
+			f()
+		}
+	})
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// serveOperators answers the platform's balancer and the readers of metrics.
+func (p *process) serveOperators(metrics http.Handler) error {
+	closeReady, err := web.Serve(p.settings.Ready, nil, []rest.Route{
+		{Method: http.MethodGet, Path: platform.ReadyPath, Handler: p.ready},
+	})
+	if err != nil {
+		return err
+	}
+	p.cleanups = append(p.cleanups, closeReady)
+	closeMetrics, err := web.Serve(p.settings.Metrics, nil, []rest.Route{
+		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
+	})
+	if err != nil {
+		return err
+	}
+	p.cleanups = append(p.cleanups, closeMetrics)
+	return nil
+}
+
+func (p *process) ready(w http.ResponseWriter, _ *http.Request) {
+	if p.leaving.Load() || !p.follower.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *process) serveCallers() error {
+	listener, err := net.Listen("tcp", p.settings.Callers)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", p.settings.Callers)
+	}
+	p.server = &http.Server{
+		Handler: p.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	go func() {
+		defer close(p.served)
+		if err := p.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.log.WithError(err).Error("callers can't be served any more")
+		}
+	}()
+	return nil
+}
+
+// reload tells of a signal. The settings in use are those of the start.
+func (p *process) reload() {
+	p.log.Info("settings hold from the next start on")
+}
+
+// stop ends the process without cutting a request that can still be answered.
+func (p *process) stop() {
+	began := time.Now()
+	p.log.Info("gateway stops")
+	p.leaving.Store(true)
+	p.ingress.Leave()
+	time.Sleep(deregister)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(p.settings.Grace)-lastEnd))
+	defer cancel()
+	err := p.server.Shutdown(ctx)
+	if err == nil {
+		<-p.served
+	}
+	p.log.WithField("tookMs", time.Since(began).Milliseconds()).WithField("cut", err != nil).Info("gateway stopped")
+	p.clean()
+}
+
+// clean runs the clean-ups in the reverse order.
+func (p *process) clean() {
+	for i := len(p.cleanups) - 1; i >= 0; i-- {
+		p.cleanups[i]()
+	}
+}
--- /dev/null
+++ b/contract/allowance.go
@@ -0,0 +1,105 @@
+package contract
+
+import (
+	"sync"
+	"time"
+
+	"github.com/knapweedpulley/knapweedpulley"
+)
+
+// Allowances are a gateway's equal parts of the customers' contracts. A part
+// begins empty, as its tokens may have been spent before a restart.
+type Allowances struct {
+	clock   knapweedpulley.Clock
+	mu      sync.Mutex
+	holders int
+	parts   map[knapweedpulley.CustomerID]*allowance
+}
+
+// allowance is a part of one contract.
+type allowance struct {
+	contract knapweedpulley.Contract
+	bucket   bucket
+}
+
+// NewAllowances returns the parts of a gateway that is one of so many holders.
+func NewAllowances(clock knapweedpulley.Clock, holders int) *Allowances {
+	return &Allowances{
+		clock:   clock,
+		holders: holders,
+		parts:   make(map[knapweedpulley.CustomerID]*allowance),
+	}
+}
+
+// Configure takes over the contracts in force.
+func (a *Allowances) Configure(contracts []knapweedpulley.Contract) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	kept := make(knapweedpulley.Set[knapweedpulley.CustomerID], len(contracts))
+	for _, c := range contracts {
+		kept.Add(c.Customer)
+		part, known := a.parts[c.Customer]
+		if !known {
+			part = &allowance{bucket: bucket{stamp: a.clock.Now()}}
+			a.parts[c.Customer] = part
+		}
+		part.contract = c
+		a.resize(part)
+	}
+	for id := range a.parts {
+		if !kept.Has(id) {
+			delete(a.parts, id)
+		}
+	}
+}
+
+// Divide sets among how many holders the contracts are divided.
+func (a *Allowances) Divide(holders int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if holders < 1 || holders == a.holders {
+		return
+	}
+	a.holders = holders
+	for _, part := range a.parts {
+		a.resize(part)
+	}
+}
+
+func (a *Allowances) resize(part *allowance) {
+	n := float64(a.holders)
+	part.bucket.resize(a.clock.Now(), float64(part.contract.Rate)/n, float64(part.contract.Burst)/n, 0)
+}
+
+// Take takes n tokens of a customer's part. If it can't, it returns the time
+// after which it may. A charge beyond the burst of the part is taken once the
+// part is full, and repaid before the next one.
+func (a *Allowances) Take(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	part, known := a.parts[customer]
+	if !known || part.contract.Rate <= 0 {
+		return 0, true
+	}
+	now := a.clock.Now()
+	part.bucket.advance(now)
+	need := min(float64(n), part.bucket.burst)
+	if part.bucket.level < need {
+		wait, _ := part.bucket.wait(need)
+		return wait, false
+	}
+	part.bucket.owe(now, float64(n))
+	return 0, true
+}
+
+// Return gives back tokens of a request that did not run.
+func (a *Allowances) Return(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	part, known := a.parts[customer]
+	if !known {
+		return
+	}
+	part.bucket.advance(a.clock.Now())
+	part.bucket.level = min(part.bucket.burst, part.bucket.level+float64(n))
+}
--- /dev/null
+++ b/installation.go
@@ -0,0 +1,158 @@
+package knapweedpulley
+
+import (
+	"crypto/sha256"
+	"time"
+)
+
+// ServiceID names a group of endpoints that run the same requests.
+type ServiceID string
+
+// KeyHash identifies a caller's key without revealing it.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key.
+func HashKey(secret string) KeyHash {
+	return sha256.Sum256([]byte(secret))
+}
+
+// Repeatability says what may be done with a request after its first send.
+type Repeatability int
+
+// Kinds of routes by what may be repeated.
+const (
+	// AtMostOnce requests run once at most.
+	AtMostOnce Repeatability = iota
+	// Idempotent requests may run any number of times.
+	Idempotent
+	// Resumable streams may be continued on another endpoint after the last
+	// event that reached the caller.
+	Resumable
+)
+
+// ServiceShare is the part of a route's requests that goes to a service.
+type ServiceShare struct {
+	Service ServiceID
+	Weight  float64
+}
+
+// Route leads requests by host and path prefix to services.
+type Route struct {
+	ID     RouteID
+	Host   string
+	Prefix string
+	// Public routes need no key.
+	Public bool
+	Stream bool
+	Repeat Repeatability
+	// Timeout bounds how long a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the objective for the whole answer, or for the first event.
+	Target time.Duration
+	// Pause is the objective for the time between two events.
+	Pause time.Duration
+	// Priority ranks requests; zero is the most urgent.
+	Priority    int
+	MaxAttempts int
+	Shares      []ServiceShare
+}
+
+// Service is a group of endpoints as the operator describes it.
+type Service struct {
+	ID ServiceID
+	// MaxConnections bounds the connections to an endpoint from all callers.
+	MaxConnections int
+	Engine         Option[EngineSpec]
+}
+
+// EngineSpec describes the model engines of a service.
+type EngineSpec struct {
+	Slots int
+	// Cache is the memory for tokens of prompts and answers.
+	Cache        Tokens
+	Memory       Bytes
+	AdapterSlots int
+	// LoadsPerSecond is how many loads from the weight store may begin.
+	LoadsPerSecond float64
+	Models         map[ModelID]ModelSpec
+}
+
+// ModelSpec describes a model and its adapters.
+type ModelSpec struct {
+	Model       ModelID
+	Size        Bytes
+	AdapterSize Bytes
+	// Load, Disk and Warm are the load times from the weight store, from a
+	// machine's disk and from its memory.
+	Load time.Duration
+	Disk time.Duration
+	Warm time.Duration
+}
+
+// LoadTime returns the time that a load takes from a tier.
+func (m ModelSpec) LoadTime(t CacheTier) time.Duration {
+	switch t {
+	case TierMemory:
+		return m.Warm
+	case TierDisk:
+		return m.Disk
+	default:
+		return m.Load
+	}
+}
+
+// Account is a customer in an installation.
+type Account struct {
+	Contract
+	Keys []KeyHash
+	// InTokens says that the contract counts tokens and not requests.
+	InTokens bool
+	// Plain is what a request without token counts is charged.
+	Plain Tokens
+	// Priority goes before that of the route.
+	Priority Option[int]
+}
+
+// CallerLimits bound what callers may send and how long they may take.
+type CallerLimits struct {
+	Header      Bytes
+	Body        Bytes
+	HeaderRead  time.Duration
+	IdleTimeout time.Duration
+}
+
+// Installation is the configuration of a whole installation. It is immutable.
+type Installation struct {
+	Version  Version
+	Routes   []Route
+	Services map[ServiceID]Service
+	Accounts []Account
+	Limits   CallerLimits
+}
+
+// RegisteredEndpoint is an endpoint as it stands in the store. Each run of an
+// endpoint has an id of its own, or another start.
+type RegisteredEndpoint struct {
+	ID       EndpointID
+	Service  ServiceID
+	Address  string
+	Zone     ZoneID
+	Draining bool
+	// Remaining is the time after which a draining endpoint is gone; zero if
+	// it isn't known.
+	Remaining time.Duration
+	// Start is the endpoint's wall clock in milliseconds when it started.
+	Start uint64
+	Slots int
+	// Models is what the endpoint holds.
+	Models []LoadedModel
+}
+
+// Translator decodes what others write into the store.
+type Translator interface {
+	// Installation decodes the configuration.
+	Installation(value []byte) (Installation, error)
+	// Endpoint decodes the entry of an endpoint. An entry that doesn't describe
+	// a usable endpoint is an error.
+	Endpoint(id EndpointID, value []byte) (RegisteredEndpoint, error)
+}
--- /dev/null
+++ b/link/keepermessages.go
@@ -0,0 +1,160 @@
+package link
+
+import (
+	"time"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/link/linkpb"
+)
+
+func encodeNote(n knapweedpulley.GatewayNote) *linkpb.KeeperNote {
+	m := &linkpb.KeeperNote{Endpoint: string(n.Endpoint), Demanded: n.Demanded}
+	if e, known := n.Engine.Get(); known {
+		m.Engine = encodeEngine(e)
+	}
+	for _, w := range n.Wakes {
+		m.Wakes = append(m.Wakes, &linkpb.KeeperWake{
+			Model: string(w.Model), Adapter: string(w.Adapter),
+			ExpiresNanoseconds: int64(w.Expires), Priority: int64(w.Priority),
+		})
+	}
+	for _, d := range n.Demands {
+		m.Demands = append(m.Demands, &linkpb.KeeperDemand{
+			Model: string(d.Model), Adapter: string(d.Adapter),
+			Active: int64(d.Active), Rate: d.Rate, Holders: int64(d.Holders), Spare: d.Spare,
+		})
+	}
+	return m
+}
+
+func decodeNote(m *linkpb.KeeperNote) knapweedpulley.GatewayNote {
+	n := knapweedpulley.GatewayNote{
+		Endpoint: knapweedpulley.EndpointID(m.GetEndpoint()),
+		Demanded: m.GetDemanded(),
+	}
+	if e := m.GetEngine(); e != nil {
+		n.Engine = knapweedpulley.Some(decodeEngine(e))
+	}
+	for _, w := range m.GetWakes() {
+		n.Wakes = append(n.Wakes, knapweedpulley.ResidentWake{
+			Resident: resident(w.GetModel(), w.GetAdapter()),
+			Expires:  time.Duration(w.GetExpiresNanoseconds()),
+			Priority: int(w.GetPriority()),
+		})
+	}
+	for _, d := range m.GetDemands() {
+		n.Demands = append(n.Demands, knapweedpulley.ModelDemand{
+			Resident: resident(d.GetModel(), d.GetAdapter()),
+			Active:   int(d.GetActive()),
+			Rate:     d.GetRate(),
+			Holders:  int(d.GetHolders()),
+			Spare:    d.GetSpare(),
+		})
+	}
+	return n
+}
+
+func encodeEngine(e knapweedpulley.EngineSpec) *linkpb.KeeperEngine {
+	m := &linkpb.KeeperEngine{
+		Slots: int64(e.Slots), Cache: int64(e.Cache), Memory: int64(e.Memory),
+		AdapterSlots: int64(e.AdapterSlots), LoadsPerSecond: e.LoadsPerSecond,
+	}
+	for _, s := range e.Models {
+		m.Models = append(m.Models, &linkpb.KeeperModel{
+			Model: string(s.Model), Size: int64(s.Size), AdapterSize: int64(s.AdapterSize),
+			LoadNanoseconds: int64(s.Load), DiskNanoseconds: int64(s.Disk), WarmNanoseconds: int64(s.Warm),
+		})
+	}
+	return m
+}
+
+func decodeEngine(m *linkpb.KeeperEngine) knapweedpulley.EngineSpec {
+	e := knapweedpulley.EngineSpec{
+		Slots: int(m.GetSlots()), Cache: knapweedpulley.Tokens(m.GetCache()),
+		Memory: knapweedpulley.Bytes(m.GetMemory()), AdapterSlots: int(m.GetAdapterSlots()),
+		LoadsPerSecond: m.GetLoadsPerSecond(),
+		Models:         make(map[knapweedpulley.ModelID]knapweedpulley.ModelSpec, len(m.GetModels())),
+	}
+	for _, s := range m.GetModels() {
+		id := knapweedpulley.ModelID(s.GetModel())
+		e.Models[id] = knapweedpulley.ModelSpec{
+			Model: id, Size: knapweedpulley.Bytes(s.GetSize()), AdapterSize: knapweedpulley.Bytes(s.GetAdapterSize()),
+			Load: time.Duration(s.GetLoadNanoseconds()),
+			Disk: time.Duration(s.GetDiskNanoseconds()),
+			Warm: time.Duration(s.GetWarmNanoseconds()),
+		}
+	}
+	return e
+}
+
+func encodeEngineReport(r knapweedpulley.EngineReport) *linkpb.KeeperReport {
+	m := &linkpb.KeeperReport{
+		Start: r.Start, Running: int64(r.Running), Waiting: int64(r.Waiting),
+		CacheUsed: int64(r.CacheUsed), CacheSize: int64(r.CacheSize),
+		Free: int64(r.Free), Evictable: int64(r.Evictable), Spare: int64(r.Spare),
+		Gateways: int64(r.Gateways),
+	}
+	for _, h := range r.Models {
+		held := &linkpb.KeeperHeld{Model: string(h.Model), State: string(h.State)}
+		for _, a := range h.Adapters {
+			held.Adapters = append(held.Adapters, string(a.Adapter))
+		}
+		m.Models = append(m.Models, held)
+	}
+	for _, c := range r.Cached {
+		m.Cached = append(m.Cached, &linkpb.KeeperCached{Model: string(c.Model), Tier: int64(c.Tier)})
+	}
+	for _, l := range r.Loading {
+		m.Loading = append(m.Loading, &linkpb.KeeperLoading{
+			Model: string(l.Model), Adapter: string(l.Adapter), Tier: int64(l.Tier), LeftNanoseconds: int64(l.Left),
+		})
+	}
+	for _, q := range r.Queue {
+		m.Queue = append(m.Queue, &linkpb.KeeperResident{Model: string(q.Model), Adapter: string(q.Adapter)})
+	}
+	return m
+}
+
+func decodeEngineReport(m *linkpb.KeeperReport) knapweedpulley.EngineReport {
+	r := knapweedpulley.EngineReport{
+		Start: m.GetStart(), Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()),
+		CacheUsed: knapweedpulley.Tokens(m.GetCacheUsed()), CacheSize: knapweedpulley.Tokens(m.GetCacheSize()),
+		Free:      knapweedpulley.Bytes(m.GetFree()),
+		Evictable: knapweedpulley.Bytes(m.GetEvictable()),
+		Spare:     knapweedpulley.Bytes(m.GetSpare()),
+		Gateways:  int(m.GetGateways()),
+	}
+	for _, h := range m.GetModels() {
+		held := knapweedpulley.LoadedModel{
+			Model: knapweedpulley.ModelID(h.GetModel()), State: knapweedpulley.LoadState(h.GetState()),
+		}
+		for _, a := range h.GetAdapters() {
+			held.Adapters = append(held.Adapters, knapweedpulley.LoadedAdapter{
+				Adapter: knapweedpulley.AdapterID(a), State: knapweedpulley.StateLoaded,
+			})
+		}
+		r.Models = append(r.Models, held)
+	}
+	for _, c := range m.GetCached() {
+		r.Cached = append(r.Cached, knapweedpulley.CachedCheckpoint{
+			Model: knapweedpulley.ModelID(c.GetModel()), Tier: knapweedpulley.CacheTier(c.GetTier()),
+		})
+	}
+	for _, l := range m.GetLoading() {
+		r.Loading = append(r.Loading, knapweedpulley.LoadInProgress{
+			Resident: resident(l.GetModel(), l.GetAdapter()),
+			Tier:     knapweedpulley.CacheTier(l.GetTier()),
+			Left:     time.Duration(l.GetLeftNanoseconds()),
+		})
+	}
+	for _, q := range m.GetQueue() {
+		r.Queue = append(r.Queue, resident(q.GetModel(), q.GetAdapter()))
+	}
+	return r
+}
+
+func resident(model, adapter string) knapweedpulley.Resident {
+	return knapweedpulley.Resident{
+		Model: knapweedpulley.ModelID(model), Adapter: knapweedpulley.AdapterID(adapter),
+	}
+}
--- /dev/null
+++ b/placement/placer.go
@@ -0,0 +1,141 @@
+// Package placement has models and adapters loaded where requests need them.
+//
+// Each gateway decides by itself, on the reports of the keepers, which all
+// gateways get; they mostly agree, as ties are broken by rendezvous hashing.
+// Where they don't, an engine loads one model more than it had to. A keeper
+// gives all orders to its engine and has the last word.
+//
+// # Usage
+//
+//	placer, cleanup := placement.NewPlacer(placement.Options{…})
+//	defer cleanup()
+//	err := placer.Await(ctx, placement.Wish{Service: service, Weights: weights, …})
+package placement
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/fleet"
+)
+
+// Options is what a placer works with.
+type Options struct {
+	Fleet  *fleet.Fleet
+	Demand *Demand
+	Link   knapweedpulley.KeeperLink
+	Clock  knapweedpulley.Clock
+	Log    log.Interface
+	// Port is the port of all keepers.
+	Port int
+	// RemoteLoads is how many loads from the weight store run at once at full
+	// speed.
+	RemoteLoads int
+	// Gateways is how many there are until that is known.
+	Gateways int
+}
+
+// Placer has models loaded for one gateway.
+type Placer struct {
+	fleet       *fleet.Fleet
+	demand      *Demand
+	link        knapweedpulley.KeeperLink
+	clock       knapweedpulley.Clock
+	log         log.Interface
+	port        int
+	remoteLoads int
+	gateways    atomic.Int64
+	services    atomic.Pointer[map[knapweedpulley.ServiceID]knapweedpulley.Service]
+
+	mu    sync.Mutex
+	wakes map[target]*wake
+	kept  map[knapweedpulley.EndpointID]*attendance
+}
+
+// NewPlacer returns a placer. The clean-up closes the streams to the keepers.
+func NewPlacer(o Options) (*Placer, knapweedpulley.Cleanup) {
+	p := &Placer{
+		fleet: o.Fleet, demand: o.Demand, link: o.Link, clock: o.Clock, log: o.Log, port: o.Port,
+		remoteLoads: o.RemoteLoads,
+		wakes:       make(map[target]*wake),
+		kept:        make(map[knapweedpulley.EndpointID]*attendance),
+	}
+	p.gateways.Store(int64(o.Gateways))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { p.attendAll(ctx) })
+	return p, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// Configure takes over the services in force.
+func (p *Placer) Configure(services map[knapweedpulley.ServiceID]knapweedpulley.Service) {
+	p.services.Store(&services)
+}
+
+// Divide sets among how many gateways the callers are divided.
+func (p *Placer) Divide(gateways int) {
+	p.gateways.Store(int64(gateways))
+}
+
+// engine returns the engine of a service, or nil.
+func (p *Placer) engine(id knapweedpulley.ServiceID) *knapweedpulley.EngineSpec {
+	services := p.services.Load()
+	if services == nil {
+		return nil
+	}
+	if spec, has := (*services)[id].Engine.Get(); has {
+		return &spec
+	}
+	return nil
+}
+
+// attendAll keeps a stream to the keeper of each engine.
+func (p *Placer) attendAll(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	ticker := time.NewTicker(notePeriod)
+	defer ticker.Stop()
+	for {
+		changed := p.fleet.Changed()
+		p.attendNew(ctx, &running)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Placer) attendNew(ctx context.Context, running *sync.WaitGroup) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	endpoints := p.fleet.Endpoints()
+	for id, a := range p.kept {
+		if endpoints[id] != a.endpoint {
+			a.cancel()
+			delete(p.kept, id)
+		}
+	}
+	for id, e := range endpoints {
+		if p.kept[id] != nil || p.engine(e.Entry().Service) == nil {
+			continue
+		}
+		attended, cancel := context.WithCancel(ctx)
+		a := &attendance{
+			placer: p, endpoint: e, cancel: cancel,
+			wakes: make(chan knapweedpulley.ResidentWake, maxWakes),
+		}
+		p.kept[id] = a
+		running.Go(func() { a.run(attended) })
+	}
+	p.demand.Forget(func(id knapweedpulley.EndpointID) bool { return endpoints[id] == nil })
+}
--- /dev/null
+++ b/placement/wake.go
@@ -0,0 +1,246 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/fleet"
+)
+
+const (
+	// maxWakes bounds the wakes that wait to be sent to one keeper.
+	maxWakes = 64
+	// recheck is the time between two looks at a wake that is under way.
+	recheck = 100 * time.Millisecond
+	// acceptance is the time in which a keeper's report shows a wake that was
+	// sent to it.
+	acceptance = 400 * time.Millisecond
+	// evictionTime is what an unload before a load takes.
+	evictionTime = 150 * time.Millisecond
+	// adapterTime is what the load of an adapter takes, orders included.
+	adapterTime = 50 * time.Millisecond
+)
+
+// target is what is to be loaded for a service.
+type target struct {
+	service knapweedpulley.ServiceID
+	weights knapweedpulley.Resident
+}
+
+// wake is a load that was asked for.
+type wake struct {
+	endpoint *fleet.Endpoint
+	sent     knapweedpulley.Instant
+	// remote says that the weights come from the weight store.
+	remote bool
+}
+
+// Wish is what a request waits for.
+type Wish struct {
+	Service  knapweedpulley.ServiceID
+	Weights  knapweedpulley.Resident
+	Priority int
+	// Until is when the request gives up.
+	Until knapweedpulley.Instant
+}
+
+// Await returns once an endpoint holds what is wished for. It refuses the
+// request as soon as that can't be in time.
+func (p *Placer) Await(ctx context.Context, w Wish) error {
+	t := target{service: w.Service, weights: w.Weights}
+	timer := time.NewTimer(recheck)
+	defer timer.Stop()
+	for {
+		changed := p.fleet.Changed()
+		if len(p.fleet.Holders(w.Service, w.Weights)) > 0 {
+			return nil
+		}
+		left := w.Until.Sub(p.clock.Now())
+		if left <= 0 {
+			return knapweedpulley.NewRefusal(knapweedpulley.CodeDeadlineExceeded, knapweedpulley.NotRun,
+				"%s was not loaded in time", w.Weights.Model)
+		}
+		if eta, possible := p.wake(t, w); possible && eta > left {
+			return knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
+				"%s takes %s to load", w.Weights.Model, eta).WithRetryAfter(eta)
+		}
+		timer.Reset(recheck)
+		select {
+		case <-ctx.Done():
+			return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
+				"the caller left while %s was loaded", w.Weights.Model)
+		case <-changed:
+		case <-timer.C:
+		}
+	}
+}
+
+// wake asks a keeper for a target unless that was done. It returns the time
+// until it is loaded, if any endpoint can load it.
+func (p *Placer) wake(t target, w Wish) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last, asked := p.wakes[t]; asked {
+		if eta, going := p.progress(t, last); going {
+			return eta, true
+		}
+		delete(p.wakes, t)
+	}
+	e, eta, tier, found := p.choose(t)
+	if !found {
+		return 0, false
+	}
+	if tier == knapweedpulley.TierRemote && p.remoteLoadsOf(t.service) >= p.remoteLoads {
+		return eta, true
+	}
+	a := p.kept[e.ID()]
+	if a == nil {
+		return 0, false
+	}
+	select {
+	case a.wakes <- knapweedpulley.ResidentWake{
+		Resident: t.weights, Priority: w.Priority, Expires: w.Until.Sub(p.clock.Now()),
+	}:
+	default:
+		return 0, false
+	}
+	p.wakes[t] = &wake{endpoint: e, sent: p.clock.Now(), remote: tier == knapweedpulley.TierRemote}
+	p.log.WithField("model", t.weights.Model).WithField("adapter", t.weights.Adapter).
+		WithField("endpoint", e.ID()).WithField("tier", tier).WithField("expected", eta.String()).Info("load asked for")
+	return eta, true
+}
+
+// progress returns the time that a wake still takes, and false if its endpoint
+// no longer works on it.
+func (p *Placer) progress(t target, w *wake) (time.Duration, bool) {
+	if p.fleet.Endpoints()[w.endpoint.ID()] != w.endpoint || w.endpoint.Entry().Draining {
+		return 0, false
+	}
+	r, age, fresh := w.endpoint.Report()
+	if !fresh {
+		return 0, false
+	}
+	spec := p.engine(t.service)
+	if spec == nil {
+		return 0, false
+	}
+	for _, l := range r.Loading {
+		if l.Resident == t.weights || (l.Adapter == "" && l.Model == t.weights.Model) {
+			return max(0, l.Left-age), true
+		}
+	}
+	for _, q := range r.Queue {
+		if q == t.weights {
+			return backlog(r, age, spec), true
+		}
+	}
+	if p.clock.Now().Sub(w.sent) < acceptance {
+		return backlog(r, age, spec) + spec.Models[t.weights.Model].LoadTime(tierOf(r, t.weights.Model)), true
+	}
+	return 0, false
+}
+
+// choose returns the endpoint that would have a target loaded first.
+func (p *Placer) choose(t target) (*fleet.Endpoint, time.Duration, knapweedpulley.CacheTier, bool) {
+	spec := p.engine(t.service)
+	if spec == nil {
+		return nil, 0, 0, false
+	}
+	model, known := spec.Models[t.weights.Model]
+	if !known {
+		return nil, 0, 0, false
+	}
+	var best *fleet.Endpoint
+	var bestTime time.Duration
+	var bestTier knapweedpulley.CacheTier
+	var bestRank uint64
+	for _, e := range p.fleet.Service(t.service) {
+		r, age, fresh := e.Report()
+		if !fresh || e.Avoided() {
+			continue
+		}
+		d, tier, fits := loadTime(r, age, spec, model, t.weights)
+		if !fits {
+			continue
+		}
+		rank := fleet.Rank(string(t.weights.Model)+"/"+string(t.weights.Adapter), e.ID())
+		if best == nil || d < bestTime || (d == bestTime && rank > bestRank) {
+			best, bestTime, bestTier, bestRank = e, d, tier, rank
+		}
+	}
+	return best, bestTime, bestTier, best != nil
+}
+
+// loadTime returns the time until an engine would have a target, and false if
+// it has no room for it.
+func loadTime(
+	r *knapweedpulley.EngineReport, age time.Duration, spec *knapweedpulley.EngineSpec,
+	model knapweedpulley.ModelSpec, w knapweedpulley.Resident,
+) (time.Duration, knapweedpulley.CacheTier, bool) {
+	if w.Adapter != "" && knapweedpulley.Holds(r.Models, knapweedpulley.Resident{Model: w.Model}) {
+		// Loaded engines take adapters last.
+		return adapterTime + time.Duration(r.Running)*time.Millisecond, knapweedpulley.TierMemory, true
+	}
+	if r.Free+r.Evictable < model.Size {
+		return 0, 0, false
+	}
+	tier := tierOf(r, w.Model)
+	d := backlog(r, age, spec) + model.LoadTime(tier)
+	switch {
+	case r.Free >= model.Size:
+	case r.Free+r.Spare >= model.Size:
+		d += evictionTime
+	default:
+		// What is evicted here will be missed.
+		d += evictionTime + model.Disk/2
+	}
+	return d, tier, true
+}
+
+// backlog returns the time until an engine has done what waits for it.
+func backlog(r *knapweedpulley.EngineReport, age time.Duration, spec *knapweedpulley.EngineSpec) time.Duration {
+	var d time.Duration
+	for _, l := range r.Loading {
+		d = max(d, l.Left-age)
+	}
+	for _, q := range r.Queue {
+		if q.Adapter == "" {
+			d += spec.Models[q.Model].LoadTime(tierOf(r, q.Model)) + evictionTime
+		}
+	}
+	return max(0, d)
+}
+
+// tierOf returns from where an engine would load a model.
+func tierOf(r *knapweedpulley.EngineReport, model knapweedpulley.ModelID) knapweedpulley.CacheTier {
+	tier := knapweedpulley.TierRemote
+	for _, c := range r.Cached {
+		if c.Model == model {
+			tier = min(tier, c.Tier)
+		}
+	}
+	return tier
+}
+
+// remoteLoadsOf counts the loads from the weight store that are under way.
+func (p *Placer) remoteLoadsOf(service knapweedpulley.ServiceID) int {
+	n := 0
+	for _, e := range p.fleet.Service(service) {
+		r, _, fresh := e.Report()
+		if !fresh {
+			continue
+		}
+		for _, l := range r.Loading {
+			if l.Tier == knapweedpulley.TierRemote {
+				n++
+			}
+		}
+	}
+	for _, w := range p.wakes {
+		if w.remote && p.clock.Now().Sub(w.sent) < acceptance {
+			n++
+		}
+	}
+	return n
+}
--- a/program/program.go
+++ b/program/program.go
@@ -26,6 +26,9 @@
 	"github.com/knapweedpulley/knapweedpulley/settings"
 )
 
+// settingsVariable names the settings file where the command line doesn't.
+const settingsVariable = "KNAPWEEDPULLEY_CONFIG"
+
 // forcedStop is far enough away for all requests to end.
 const forcedStop = 24 * time.Hour
 
@@ -54,6 +57,9 @@
 	if err := parser.ParseArgs(args); err != nil {
 		return o, err
 	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(settingsVariable)
+	}
 	if o.Settings == "" {
 		return o, errors.New("--settings must name a JSON settings file")
 	}
@@ -66,6 +72,9 @@
 	// Ended is closed when the process can't go on and has to be started anew.
 	// Nil stands for a process that always can.
 	Ended <-chan struct{}
+	// Reload is called on SIGHUP. Nil stands for a process that has nothing to
+	// reload.
+	Reload func()
 }
 
 // Run reads the settings named on the command line, starts the process and
@@ -92,18 +101,33 @@
 	}
 	tameLibrary()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		p, err := start(s)
 		if err != nil {
 			return fail(stderr, name, err, ExitFailed)
 		}
-		select {
-		case <-signals:
-			p.Cleanup()
+		if stopped := p.wait(signals); stopped {
 			return ExitDone
+		}
+	}
+}
+
+// wait runs the process until it ends or is to stop, and cleans it up. It
+// reports whether the process is to stop.
+func (p *Process) wait(signals <-chan os.Signal) bool {
+	defer p.Cleanup()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return true
+			}
+			if p.Reload != nil {
+				p.Reload()
+			}
 		case <-p.Ended:
-			p.Cleanup()
+			return false
 		}
 	}
 }
--- a/store.go
+++ b/store.go
@@ -23,8 +23,18 @@
 	KindClaims Kind = "claims"
 	// KindCheckpoints describes the checkpoints in the weight store.
 	KindCheckpoints Kind = "checkpoints"
+	// KindInstallation holds the configuration of an installation whose
+	// operator writes it as a whole, as the object MainInstallation.
+	KindInstallation Kind = "installation"
+	// KindEndpoints holds one object per endpoint that registers itself.
+	KindEndpoints Kind = "endpoints"
+	// KindGateways holds one object per gateway that shares the contracts.
+	KindGateways Kind = "gateways"
 )
 
+// MainInstallation is the name of the object that holds the configuration.
+const MainInstallation = "main"
+
 // Object is one object of the platform's store.
 type Object struct {
 	Kind     Kind
@@ -76,3 +86,36 @@
 	// them in order, with the revision up to which they are complete.
 	Watch(ctx context.Context, kind Kind, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
+
+// StoreCall is one HTTP call to a store.
+type StoreCall struct {
+	Method string
+	// Target is the path, escaped, with the query.
+	Target string
+	Header []HeaderField
+	Body   []byte
+}
+
+// StoreCodec spells the calls to a store and reads its answers. It decides
+// nothing.
+type StoreCodec interface {
+	// Get spells the reading of an object.
+	Get(kind Kind, name string) StoreCall
+	// List spells the reading of a collection's objects behind a name.
+	List(kind Kind, behind string) StoreCall
+	// Watch spells the wait for changes after a revision.
+	Watch(kind Kind, after Revision, wait time.Duration) StoreCall
+	// Put spells a write that holds only at the expected revision.
+	Put(kind Kind, name string, value []byte, expected Revision) StoreCall
+	// Delete spells a removal that holds only at the expected revision.
+	Delete(kind Kind, name string, expected Revision) StoreCall
+	// Object reads the answer to a Get.
+	Object(kind Kind, body []byte) (Object, error)
+	// Listing reads the answer to a List. More is the name behind which the
+	// collection goes on, if it does.
+	Listing(kind Kind, body []byte) (listing Listing, more Option[string], err error)
+	// Changes reads the answer to a Watch.
+	Changes(kind Kind, body []byte) ([]Change, Revision, error)
+	// Written reads the revision from the answer to a write.
+	Written(body []byte) (Revision, error)
+}
--- a/store/client.go
+++ b/store/client.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -53,19 +51,26 @@
 // Client calls the platform's service over HTTP. It implements
 // knapweedpulley.ObjectStore and knapweedpulley.MachineList.
 type Client struct {
-	base    url.URL
+	codec   knapweedpulley.StoreCodec
+	base    string
 	timeout time.Duration
 	client  *http.Client
 	service httpc.Service
 }
 
-// NewClient returns a client. The clean-up closes its connections.
+// NewClient returns a client of the project's own spelling of the calls. The
+// clean-up closes its connections.
+func NewClient(s Settings) (*Client, knapweedpulley.Cleanup, error) {
+	return NewClientOf(s, codec{})
+}
+
+// NewClientOf returns a client that spells its calls by a codec.
 //
 // The client of httpc has a circuit breaker per service name, which would turn
 // an outage of the store into refusals that outlast it; it is switched off. Its
 // default client might send a call again on a broken connection, hence a client
 // of our own whose writes can't be rewound and which follows no redirects.
-func NewClient(s Settings) (*Client, knapweedpulley.Cleanup, error) {
+func NewClientOf(s Settings, codec knapweedpulley.StoreCodec) (*Client, knapweedpulley.Cleanup, error) {
 	var f settings.Faults
 	s.Check(&f)
 	if err := f.Err(); err != nil {
@@ -84,7 +89,8 @@
 	}
 	breaker.NoBreakerFor(serviceName)
 	c := &Client{
-		base:    url.URL{Scheme: "http", Host: s.Address},
+		codec:   codec,
+		base:    "http://" + s.Address,
 		timeout: time.Duration(s.Timeout),
 		client:  client,
 		service: httpc.NewServiceWithClient(serviceName, client),
@@ -94,34 +100,56 @@
 
 // Get implements knapweedpulley.ObjectStore.
 func (c *Client) Get(ctx context.Context, kind knapweedpulley.Kind, name string) (knapweedpulley.Object, error) {
-	var o object
-	err := c.read(ctx, c.timeout, c.objectURL(kind, name), &o)
-	return o.object(), errors.Wrapf(err, "get %s/%s", kind, name)
+	body, err := c.read(ctx, c.timeout, c.codec.Get(kind, name))
+	if err != nil {
+		return knapweedpulley.Object{}, errors.Wrapf(err, "get %s/%s", kind, name)
+	}
+	return c.codec.Object(kind, body)
 }
 
-// List implements knapweedpulley.ObjectStore.
+// List implements knapweedpulley.ObjectStore. The parts of a listing may be of
+// different revisions; the first one's is returned, so that a watch from there
+// on misses nothing.
 func (c *Client) List(ctx context.Context, kind knapweedpulley.Kind) (knapweedpulley.Listing, error) {
-	var l listing
-	err := c.read(ctx, c.timeout, c.base.JoinPath("objects", string(kind)), &l)
-	return l.listing(), errors.Wrapf(err, "list %s", kind)
+	var whole knapweedpulley.Listing
+	behind := ""
+	for {
+		body, err := c.read(ctx, c.timeout, c.codec.List(kind, behind))
+		if err != nil {
+			return knapweedpulley.Listing{}, errors.Wrapf(err, "list %s", kind)
+		}
+		part, more, err := c.codec.Listing(kind, body)
+		if err != nil {
+			return knapweedpulley.Listing{}, errors.Wrapf(err, "list %s", kind)
+		}
+		if behind == "" {
+			whole.Revision = part.Revision
+		}
+		whole.Objects = append(whole.Objects, part.Objects...)
+		next, goesOn := more.Get()
+		if !goesOn {
+			return whole, nil
+		}
+		behind = next
+	}
 }
 
 // Watch implements knapweedpulley.ObjectStore.
 func (c *Client) Watch(
 	ctx context.Context, kind knapweedpulley.Kind, after knapweedpulley.Revision, wait time.Duration,
 ) ([]knapweedpulley.Change, knapweedpulley.Revision, error) {
-	u := c.base.JoinPath("watch", string(kind))
-	u.RawQuery = url.Values{"after": {after.String()}, "wait": {wait.String()}}.Encode()
-	var l changeList
-	err := c.read(ctx, c.timeout+wait, u, &l)
-	return l.changes(), l.Revision, errors.Wrapf(err, "watch %s", kind)
+	body, err := c.read(ctx, c.timeout+wait, c.codec.Watch(kind, after, wait))
+	if err != nil {
+		return nil, 0, errors.Wrapf(err, "watch %s", kind)
+	}
+	return c.codec.Changes(kind, body)
 }
 
 // Put implements knapweedpulley.ObjectStore.
 func (c *Client) Put(
 	ctx context.Context, kind knapweedpulley.Kind, name string, value []byte, expected knapweedpulley.Revision,
 ) (knapweedpulley.Revision, error) {
-	revision, err := c.write(ctx, http.MethodPut, c.objectURL(kind, name), value, expected)
+	revision, err := c.write(ctx, c.codec.Put(kind, name, value, expected))
 	return revision, errors.Wrapf(err, "put %s/%s", kind, name)
 }
 
@@ -129,56 +157,55 @@
 func (c *Client) Delete(
 	ctx context.Context, kind knapweedpulley.Kind, name string, expected knapweedpulley.Revision,
 ) (knapweedpulley.Revision, error) {
-	revision, err := c.write(ctx, http.MethodDelete, c.objectURL(kind, name), nil, expected)
+	revision, err := c.write(ctx, c.codec.Delete(kind, name, expected))
 	return revision, errors.Wrapf(err, "delete %s/%s", kind, name)
 }
 
 // Machines implements knapweedpulley.MachineList.
 func (c *Client) Machines(ctx context.Context) (knapweedpulley.MachineListing, error) {
+	body, err := c.read(ctx, c.timeout, knapweedpulley.StoreCall{Method: http.MethodGet, Target: "/machines"})
+	if err != nil {
+		return knapweedpulley.MachineListing{}, errors.Wrap(err, "list machines")
+	}
 	var l machineList
-	err := c.read(ctx, c.timeout, c.base.JoinPath("machines"), &l)
-	return l.listing(), errors.Wrap(err, "list machines")
-}
-
-func (c *Client) objectURL(kind knapweedpulley.Kind, name string) *url.URL {
-	return c.base.JoinPath("objects", string(kind), url.PathEscape(name))
+	err = decode(body, &l)
+	return l.listing(), err
 }
 
 // read makes a call that changes nothing.
-func (c *Client) read(ctx context.Context, timeout time.Duration, u *url.URL, answer any) error {
+func (c *Client) read(ctx context.Context, timeout time.Duration, l knapweedpulley.StoreCall) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, l.Method, c.base+l.Target, http.NoBody)
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return nil, errors.Wrap(err, "build request")
 	}
-	return c.call(r, answer)
+	return c.call(r)
 }
 
 // write makes a conditional write. A failure after a connection was used for it
 // leaves the outcome unknown.
-func (c *Client) write(
-	ctx context.Context, method string, u *url.URL, value []byte, expected knapweedpulley.Revision,
-) (knapweedpulley.Revision, error) {
+func (c *Client) write(ctx context.Context, l knapweedpulley.StoreCall) (knapweedpulley.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	r, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(value))
+	r, err := http.NewRequestWithContext(ctx, l.Method, c.base+l.Target, bytes.NewReader(l.Body))
 	if err != nil {
 		return 0, errors.Wrap(err, "build request")
 	}
 	// Without GetBody the transport can't send the body a second time.
 	r.GetBody = nil
-	r.Header.Set(headerIfMatch, expected.String())
 	r.Header.Set("Content-Type", "application/json")
-	var w written
-	err = c.call(r, &w)
+	for _, h := range l.Header {
+		r.Header.Set(h.Name, h.Value)
+	}
+	body, err := c.call(r)
 	switch {
 	case err == nil:
-		return w.Revision, nil
+		return c.codec.Written(body)
 	case errors.Is(err, knapweedpulley.ErrObjectNotFound):
 		return 0, errors.Mark(err, knapweedpulley.ErrConflict)
 	case errors.Is(err, knapweedpulley.ErrConflict), errors.Is(err, errRefused), !sent.Load():
@@ -191,23 +218,20 @@
 // errRefused marks answers which say that the call was refused as it stands.
 var errRefused = errors.New("refused by the store")
 
-// call sends a request once and decodes its answer.
-func (c *Client) call(r *http.Request, answer any) error {
+// call sends a request once and returns the body of its answer.
+func (c *Client) call(r *http.Request) ([]byte, error) {
 	response, err := c.service.DoRequest(r)
 	if err != nil {
 		// What made this connection fail may have silenced the others too.
 		c.client.CloseIdleConnections()
-		return errors.Wrap(err, "call the store")
+		return nil, errors.Wrap(err, "call the store")
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
-		return errors.Wrap(err, "read the store's answer")
-	}
-	if err := errorOf(response.StatusCode, body); err != nil {
-		return err
+		return nil, errors.Wrap(err, "read the store's answer")
 	}
-	return errors.Wrap(json.Unmarshal(body, answer), "decode the store's answer")
+	return body, errorOf(response.StatusCode, body)
 }
 
 // errorOf returns the error that an answer stands for.
