Let gateways lend tokens of a rate to each other, and refuse what waits before they end

Change: gateways know each other through the keepers, borrow what their part lacks and wait for up to a third of the objective; what waits is refused 1.3 s before SIGKILL; a content that ran at two crashes is refused by all.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -13,9 +13,11 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/rest"
+	"google.golang.org/grpc"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/contract"
+	"github.com/knapweedpulley/knapweedpulley/endpoint"
 	"github.com/knapweedpulley/knapweedpulley/engine/exchange"
 	"github.com/knapweedpulley/knapweedpulley/fleet"
 	"github.com/knapweedpulley/knapweedpulley/gateway"
@@ -40,6 +42,8 @@
 	deregister = 2500 * time.Millisecond
 	// lastEnd is the time kept between the last answer and SIGKILL.
 	lastEnd = 700 * time.Millisecond
+	// lastAnswers is the time kept before that for the refusal of what waits.
+	lastAnswers = 600 * time.Millisecond
 	// headerTimeout, idleTimeout and maxHeader bound what callers may do before
 	// a request is read; the platform's limits are within them.
 	headerTimeout = 10 * time.Second
@@ -67,10 +71,15 @@
 	placer     *placement.Placer
 	allowances *contract.Allowances
 	budget     *gateway.Budget
+	peers      *gateway.Peers
+	gateway    *gateway.Gateway
+	clock      knapweedpulley.Clock
 	ingress    *platform.Ingress
 	server     *http.Server
 	served     chan struct{}
-	leaving    atomic.Bool
+	// abandon ends all requests.
+	abandon context.CancelFunc
+	leaving atomic.Bool
 }
 
 func start(s Settings) (program.Process, error) {
@@ -107,10 +116,16 @@
 	p.cleanups = append(p.cleanups, closePool, closeConnections, closeDemand)
 	p.fleet = fleet.New(clock, p.settings.Zone)
 	p.allowances = contract.NewAllowances(clock, p.settings.Gateways)
+	self := knapweedpulley.Member{
+		Entry: knapweedpulley.EntryID(p.settings.ID), Incarnation: knapweedpulley.Incarnation(clock.Now()),
+		Zone: p.settings.Zone, Address: p.settings.Links,
+	}
+	p.peers = gateway.NewPeers(self)
+	suspects := endpoint.NewSuspects(p.peers, link.NewSuspectSender(connections))
 	p.budget = gateway.NewBudget(p.settings.RepeatSlack, p.settings.Gateways)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
 		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Clock: clock, Log: p.log,
-		Port: p.settings.KeeperPort, RemoteLoads: p.settings.RemoteLoads, Gateways: p.settings.Gateways,
+		Port: p.settings.KeeperPort, RemoteLoads: p.settings.RemoteLoads, Gateways: p.settings.Gateways, Self: self,
 	})
 	p.placer = placer
 	p.cleanups = append(p.cleanups, closePlacer)
@@ -118,12 +133,24 @@
 		objects, platform.Translator{}, clock, p.log, p.configure, p.fleet.Update)
 	p.follower = follower
 	p.cleanups = append(p.cleanups, closeFollower)
-	g := gateway.New(gateway.Options{
-		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand, Allowances: p.allowances,
-		Budget: p.budget, Exchanger: platform.NewExchanger(pool), Clock: clock, Log: p.log,
+	exchanger := platform.NewExchanger(pool)
+	p.clock = clock
+	p.gateway = gateway.New(gateway.Options{
+		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
+		Rates:   gateway.NewRates(p.allowances, link.NewAllowanceBorrower(connections), p.peers, clock, p.log),
+		Crashes: gateway.NewCrashes(suspects, exchanger, p.log),
+		Budget:  p.budget, Exchanger: exchanger, Clock: clock, Log: p.log,
 		Meter: gateway.NewMeter(scope),
 	})
-	p.ingress = platform.NewIngress(g, clock)
+	p.ingress = platform.NewIngress(p.gateway, clock)
+	_, closeLinks, err := link.NewServer(p.settings.Links, nil, func(r grpc.ServiceRegistrar) {
+		link.RegisterAllowances(r, p.allowances)
+		link.RegisterSuspects(r, suspects)
+	})
+	if err != nil {
+		return err
+	}
+	p.cleanups = append(p.cleanups, closeLinks)
 	p.cleanups = append(p.cleanups, p.tick(sweepPeriod, pool.Sweep), p.tick(dividePeriod, p.divide))
 	if err := p.serveOperators(metrics); err != nil {
 		return err
@@ -143,10 +170,12 @@
 
 // divide counts the gateways and divides what all have together.
 func (p *process) divide() {
-	n, known := p.fleet.Gateways()
+	members, known := p.fleet.Gateways()
 	if !known {
 		return
 	}
+	n := len(members)
+	p.peers.Replace(members)
 	p.allowances.Divide(n)
 	p.budget.Divide(n)
 	p.placer.Divide(n)
@@ -199,8 +228,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", p.settings.Callers)
 	}
+	ctx, abandon := context.WithCancel(context.Background())
+	p.abandon = abandon
 	p.server = &http.Server{
-		Handler: p.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+		Handler:     p.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	go func() {
 		defer close(p.served)
@@ -222,6 +254,10 @@
 	p.log.Info("gateway stops")
 	p.leaving.Store(true)
 	p.ingress.Leave()
+	last := time.Duration(p.settings.Grace) - lastEnd - lastAnswers
+	p.gateway.Leave(p.clock.Now().Add(last))
+	giveUp := time.AfterFunc(last, p.abandon)
+	defer giveUp.Stop()
 	time.Sleep(deregister)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(p.settings.Grace)-lastEnd))
 	defer cancel()
--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -15,6 +15,8 @@
 	// Callers and Ready are where callers and the platform's balancer connect.
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
+	// Links is where the other gateways connect.
+	Links string `json:"links"`
 	// Metrics is where the metrics are read.
 	Metrics string `json:"metrics"`
 	// KeeperPort is the port of the keepers on all machines with an engine.
@@ -41,6 +43,7 @@
 	f.Required("zone", string(s.Zone))
 	f.Address("callers", s.Callers)
 	f.Address("ready", s.Ready)
+	f.Address("links", s.Links)
 	f.Address("metrics", s.Metrics)
 	f.Positive("keeperPort", float64(s.KeeperPort))
 	s.Store.Check(f.In("store"))
--- a/contract/allowance.go
+++ b/contract/allowance.go
@@ -1,12 +1,16 @@
 package contract
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
 )
 
+// lentPart is the part of what a holder has that it gives away.
+const lentPart = 0.6
+
 // Allowances are a gateway's equal parts of the customers' contracts. A part
 // begins empty, as its tokens may have been spent before a restart.
 type Allowances struct {
@@ -71,29 +75,53 @@
 	part.bucket.resize(a.clock.Now(), float64(part.contract.Rate)/n, float64(part.contract.Burst)/n, 0)
 }
 
-// Take takes n tokens of a customer's part. If it can't, it returns the time
-// after which it may. A charge beyond the burst of the part is taken once the
-// part is full, and repaid before the next one.
-func (a *Allowances) Take(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) (time.Duration, bool) {
+// Claimed is the outcome of a charge against a part.
+type Claimed struct {
+	// Taken is set if the tokens were taken. They may be used after Wait.
+	Taken bool
+	Wait  time.Duration
+	// Lacking is what the part lacks to take them now.
+	Lacking knapweedpulley.Tokens
+}
+
+// Take takes n tokens of a customer's part if they flow in within patience. If
+// not, Wait is the time after which it may. A charge beyond the burst of the
+// part is taken once the part is full, and repaid before the next one.
+func (a *Allowances) Take(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens, patience time.Duration) Claimed {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	part, known := a.parts[customer]
 	if !known || part.contract.Rate <= 0 {
-		return 0, true
+		return Claimed{Taken: true}
 	}
 	now := a.clock.Now()
 	part.bucket.advance(now)
 	need := min(float64(n), part.bucket.burst)
-	if part.bucket.level < need {
-		wait, _ := part.bucket.wait(need)
-		return wait, false
+	if part.bucket.level >= need {
+		part.bucket.owe(now, float64(n))
+		return Claimed{Taken: true}
 	}
-	part.bucket.owe(now, float64(n))
-	return 0, true
+	c := Claimed{Lacking: knapweedpulley.Tokens(math.Ceil(need - part.bucket.level))}
+	wait, possible := part.bucket.wait(need)
+	c.Wait = wait
+	if possible && wait <= patience {
+		part.bucket.owe(now, float64(n))
+		c.Taken = true
+	}
+	return c
 }
 
 // Return gives back tokens of a request that did not run.
 func (a *Allowances) Return(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) {
+	a.add(customer, n)
+}
+
+// Receive adds tokens that another holder gave.
+func (a *Allowances) Receive(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) {
+	a.add(customer, n)
+}
+
+func (a *Allowances) add(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	part, known := a.parts[customer]
@@ -103,3 +131,22 @@
 	part.bucket.advance(a.clock.Now())
 	part.bucket.level = min(part.bucket.burst, part.bucket.level+float64(n))
 }
+
+// Lend implements knapweedpulley.AllowanceLender. It keeps a part of what there
+// is for the holder's own requests.
+func (a *Allowances) Lend(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) knapweedpulley.Tokens {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	part, known := a.parts[customer]
+	if !known || part.contract.Rate <= 0 {
+		return 0
+	}
+	now := a.clock.Now()
+	part.bucket.advance(now)
+	given := math.Floor(min(float64(n), part.bucket.level*lentPart))
+	if given <= 0 {
+		return 0
+	}
+	part.bucket.owe(now, given)
+	return knapweedpulley.Tokens(given)
+}
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -26,9 +26,9 @@
 // Suspects implements knapweedpulley.SuspectList. Reports merge by the crash
 // they tell of, whatever their order and however often they come.
 type Suspects struct {
-	membership knapweedpulley.Membership
-	peer       knapweedpulley.SuspectPeer
-	counts     atomic.Pointer[map[knapweedpulley.Fingerprint]int]
+	group  knapweedpulley.Group
+	peer   knapweedpulley.SuspectPeer
+	counts atomic.Pointer[map[knapweedpulley.Fingerprint]int]
 	// mu is held to merge, never to read a state.
 	mu      sync.Mutex
 	crashes map[crash][]knapweedpulley.Fingerprint
@@ -39,12 +39,12 @@
 }
 
 // NewSuspects returns an empty list that tells the other members of crashes.
-func NewSuspects(membership knapweedpulley.Membership, peer knapweedpulley.SuspectPeer) *Suspects {
+func NewSuspects(group knapweedpulley.Group, peer knapweedpulley.SuspectPeer) *Suspects {
 	s := &Suspects{
-		membership: membership,
-		peer:       peer,
-		crashes:    make(map[crash][]knapweedpulley.Fingerprint),
-		told:       make(map[crash]int),
+		group:   group,
+		peer:    peer,
+		crashes: make(map[crash][]knapweedpulley.Fingerprint),
+		told:    make(map[crash]int),
 	}
 	s.counts.Store(&map[knapweedpulley.Fingerprint]int{})
 	return s
@@ -103,9 +103,9 @@
 	if !s.tell(crash{endpoint: r.Endpoint, start: r.Start}, len(r.Fingerprints)) {
 		return
 	}
-	self := s.membership.Self().Entry
+	self := s.group.Self().Entry
 	var group sync.WaitGroup
-	for _, m := range s.membership.Members() {
+	for _, m := range s.group.Members() {
 		if m.Entry == self {
 			continue
 		}
--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -191,6 +191,16 @@
 	return &conn{Conn: raw, reader: bufio.NewReader(raw), address: m.Address}, nil
 }
 
+// Refused reports whether a new connection to an address is refused.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = raw.Close()
+	return false
+}
+
 // take removes the connection that was used last from the pool.
 func (p *Pool) take(address string, fresh time.Duration) *conn {
 	p.mu.Lock()
--- a/exchange.go
+++ b/exchange.go
@@ -105,4 +105,6 @@
 	// Exchange sends an attempt once and returns the answer as soon as its head
 	// is there. An error is a *Refusal that tells whether the call may have run.
 	Exchange(ctx context.Context, a Attempt) (Reply, error)
+	// Ended reports whether nothing listens at an address any more.
+	Ended(ctx context.Context, address string) bool
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,17 +107,17 @@
 	return f.index.Load().holders[id][w]
 }
 
-// Gateways returns how many gateways there are by the reports of the keepers,
-// and false if none reported lately. A gateway that a keeper doesn't reach is
-// counted by the others.
-func (f *Fleet) Gateways() (int, bool) {
-	most := 0
+// Gateways returns the gateways that there are by the reports of the keepers,
+// and false if none reported lately. The longest list counts, as a keeper may
+// be cut off from a gateway.
+func (f *Fleet) Gateways() ([]knapweedpulley.Member, bool) {
+	var most []knapweedpulley.Member
 	for _, e := range f.index.Load().byID {
-		if r, _, fresh := e.Report(); fresh {
-			most = max(most, r.Gateways)
+		if r, _, fresh := e.Report(); fresh && len(r.Gateways) > len(most) {
+			most = r.Gateways
 		}
 	}
-	return most, most > 0
+	return most, len(most) > 0
 }
 
 func build(byID map[knapweedpulley.EndpointID]*Endpoint) *index {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,13 +15,14 @@
 
 import (
 	"context"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedpulley/knapweedpulley"
-	"github.com/knapweedpulley/knapweedpulley/contract"
 	"github.com/knapweedpulley/knapweedpulley/fleet"
 	"github.com/knapweedpulley/knapweedpulley/installation"
 	"github.com/knapweedpulley/knapweedpulley/placement"
@@ -32,27 +33,36 @@
 
 // Options is what a gateway works with.
 type Options struct {
-	Follower   *installation.Follower
-	Fleet      *fleet.Fleet
-	Placer     *placement.Placer
-	Demand     *placement.Demand
-	Allowances *contract.Allowances
-	Budget     *Budget
-	Exchanger  knapweedpulley.Exchanger
-	Clock      knapweedpulley.Clock
-	Log        log.Interface
-	Meter      *Meter
+	Follower  *installation.Follower
+	Fleet     *fleet.Fleet
+	Placer    *placement.Placer
+	Demand    *placement.Demand
+	Rates     *Rates
+	Crashes   *Crashes
+	Budget    *Budget
+	Exchanger knapweedpulley.Exchanger
+	Clock     knapweedpulley.Clock
+	Log       log.Interface
+	Meter     *Meter
 }
 
 // Gateway serves calls.
 type Gateway struct {
 	Options
-	suspects *suspects
+	// end is when a gateway that leaves gives up what still waits.
+	end atomic.Int64
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, suspects: newSuspects(o.Clock)}
+	g := &Gateway{Options: o}
+	g.end.Store(math.MaxInt64)
+	return g
+}
+
+// Leave has requests wait no longer than until end.
+func (g *Gateway) Leave(end knapweedpulley.Instant) {
+	g.end.Store(int64(end))
 }
 
 // Serve serves a call. The error is a *knapweedpulley.Refusal, or ErrBroken if
@@ -85,7 +95,9 @@
 }
 
 // charge takes the call's tokens from its customer's rate.
-func (g *Gateway) charge(c *knapweedpulley.Call, a *installation.Admission) (knapweedpulley.Tokens, error) {
+func (g *Gateway) charge(
+	ctx context.Context, c *knapweedpulley.Call, a *installation.Admission,
+) (knapweedpulley.Tokens, error) {
 	if a.Account == nil {
 		return 0, nil
 	}
@@ -96,12 +108,8 @@
 			tokens = c.Prompt + c.Completion
 		}
 	}
-	wait, taken := g.Allowances.Take(a.Account.Customer, tokens)
-	if !taken {
-		return 0, knapweedpulley.NewRefusal(knapweedpulley.CodeRateExceeded, knapweedpulley.NotRun,
-			"customer %s is over its rate", a.Account.Customer).WithRetryAfter(wait)
-	}
-	return tokens, nil
+	err := g.Rates.Charge(ctx, a.Account.Customer, tokens, a.Route.Target/rateWait)
+	return tokens, err
 }
 
 // logEnd writes the line that tells what became of a call and why.
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -18,6 +18,9 @@
 	// endpointWait is how long a call waits for the first endpoint of a service
 	// without engines. A refusal that comes early costs the caller least.
 	endpointWait = 100 * time.Millisecond
+	// refusalPause is the time after which endpoints that refused a call are
+	// tried again.
+	refusalPause = 50 * time.Millisecond
 	// lastSend is the least time that must be left for a send.
 	lastSend = 20 * time.Millisecond
 	// sharedPromptLeast is the number of shared tokens from which on it pays to
@@ -33,6 +36,7 @@
 	admission installation.Admission
 	deadline  knapweedpulley.Instant
 	avoid     knapweedpulley.Set[knapweedpulley.EndpointID]
+	suspect   knapweedpulley.SuspectState
 	// runs counts sends after which the call may have run, refused those that
 	// an endpoint refused.
 	runs    int
@@ -58,11 +62,14 @@
 	r := &p.admission.Route
 	p.deadline = p.call.Arrived.Add(min(p.call.Timeout, r.Timeout))
 	p.lastEvent = p.call.LastEvent
-	if p.suspects.refused(p.call.Fingerprint) {
+	p.suspect = p.Crashes.State(p.call.Fingerprint)
+	if p.suspect == knapweedpulley.SuspectRefuse {
 		return knapweedpulley.NewRefusal(knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun,
-			"the request broke the endpoints that ran it")
+			"the endpoints that ran the request crashed")
 	}
-	tokens, err := p.charge(p.call, &p.admission)
+	ctx, cancel := context.WithTimeout(ctx, p.left())
+	defer cancel()
+	tokens, err := p.charge(ctx, p.call, &p.admission)
 	if err != nil {
 		return err
 	}
@@ -71,11 +78,9 @@
 		p.Demand.Arrive(weights)
 	}
 	p.Budget.Earn(p.admission.Service.ID)
-	ctx, cancel := context.WithTimeout(ctx, p.left())
-	defer cancel()
 	err = p.run(ctx)
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun && err != nil && p.runs == 0 && p.admission.Account != nil {
-		p.Allowances.Return(p.admission.Account.Customer, tokens)
+		p.Rates.Return(p.admission.Account.Customer, tokens)
 	}
 	return err
 }
@@ -130,12 +135,20 @@
 		if p.refused >= maxRefusedSends {
 			return false
 		}
-	} else if p.admission.Route.Repeat == knapweedpulley.AtMostOnce || p.runs >= p.admission.Route.MaxAttempts {
+	} else if !p.mayRunAgain() {
 		return false
 	}
 	return p.Budget.Spend(p.admission.Service.ID)
 }
 
+// mayRunAgain reports whether the call may run once more. One whose content ran
+// at a crash may crash the next endpoint too.
+func (p *passage) mayRunAgain() bool {
+	r := &p.admission.Route
+	return r.Repeat != knapweedpulley.AtMostOnce && p.runs < r.MaxAttempts &&
+		p.Crashes.State(p.call.Fingerprint) == knapweedpulley.SuspectNone
+}
+
 // readmit checks the call again after it has waited: its key may have been
 // withdrawn, or its route may lead elsewhere.
 func (p *passage) readmit() error {
@@ -176,8 +189,9 @@
 		}
 		if len(p.avoid) > 0 {
 			// All that could serve were tried. Those that refused may have room
-			// by now.
+			// in a moment.
 			clear(p.avoid)
+			p.pause(ctx, changed)
 			continue
 		}
 		if need.Weights.Model != "" {
@@ -192,6 +206,17 @@
 	}
 }
 
+// pause waits a moment, or for a change of the fleet.
+func (p *passage) pause(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(refusalPause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // await waits for a change of the fleet.
 func (p *passage) await(ctx context.Context, changed <-chan struct{}, until knapweedpulley.Instant) error {
 	timer := time.NewTimer(until.Sub(p.Clock.Now()))
@@ -212,7 +237,7 @@
 		Service:  p.admission.Service.ID,
 		Weights:  p.call.Weights(),
 		Priority: p.admission.Priority,
-		Until:    p.deadline.Add(-lastSend),
+		Until:    min(p.deadline.Add(-lastSend), knapweedpulley.Instant(p.end.Load())),
 	}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -46,7 +46,7 @@
 		if knapweedpulley.VerdictOf(err) == knapweedpulley.MayHaveRun {
 			p.runs++
 		}
-		outcome = p.blame(ctx, err)
+		outcome = p.blame(ctx, e, err)
 		return ctx.Err() == nil, err
 	}
 	defer reply.Close()
@@ -72,12 +72,12 @@
 	} else {
 		again, err = p.copy(reply)
 	}
-	outcome = p.outcome(ctx, err)
+	outcome = p.outcome(ctx, e, err)
 	return again, err
 }
 
 // outcome judges the endpoint by the end of an answer.
-func (p *passage) outcome(ctx context.Context, err error) fleet.Outcome {
+func (p *passage) outcome(ctx context.Context, e *fleet.Endpoint, err error) fleet.Outcome {
 	switch {
 	case err == nil && p.status >= http.StatusInternalServerError:
 		return fleet.Failed
@@ -86,17 +86,20 @@
 	case errors.Is(err, errFailure):
 		return fleet.Failed
 	default:
-		return p.blame(ctx, err)
+		return p.blame(ctx, e, err)
 	}
 }
 
 // blame judges the endpoint by a broken exchange. One that ends with the caller
 // or the deadline says nothing.
-func (p *passage) blame(ctx context.Context, err error) fleet.Outcome {
+func (p *passage) blame(ctx context.Context, e *fleet.Endpoint, err error) fleet.Outcome {
 	if ctx.Err() != nil || errors.Is(err, errWriting) {
 		return fleet.Unjudged
 	}
-	p.suspects.broken(p.call.Fingerprint, p.endpoint)
+	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
+		return fleet.Broken
+	}
+	p.Crashes.Broken(e, p.call.Fingerprint)
 	return fleet.Broken
 }
 
@@ -185,7 +188,7 @@
 // answered by another one.
 func (p *passage) canRetryFailure() bool {
 	r := &p.admission.Route
-	return r.Repeat != knapweedpulley.AtMostOnce && p.runs < r.MaxAttempts && p.left() > r.Target/2
+	return p.mayRunAgain() && p.left() > r.Target/2
 }
 
 // relay passes on a stream event by event. A stream that breaks off or falls
--- a/keeper/plan.go
+++ b/keeper/plan.go
@@ -69,9 +69,16 @@
 	if k.spec == nil || k.endpoint == "" {
 		return knapweedpulley.EngineOrder{}, false
 	}
-	for _, w := range k.wishes {
-		if o, due := k.orderFor(w.Resident); due {
-			return o, true
+	// Adapters come first: they take some milliseconds, but none is taken while
+	// a model is loaded.
+	for _, adapters := range []bool{true, false} {
+		for _, w := range k.wishes {
+			if (w.Adapter != "") != adapters {
+				continue
+			}
+			if o, due := k.orderFor(w.Resident); due {
+				return o, true
+			}
 		}
 	}
 	return knapweedpulley.EngineOrder{}, false
@@ -79,12 +86,12 @@
 
 // orderFor returns the next order on the way to a wish, if one can be given.
 func (k *Keeper) orderFor(w knapweedpulley.Resident) (knapweedpulley.EngineOrder, bool) {
-	if w.Adapter != "" && knapweedpulley.Holds(k.reading.Models, knapweedpulley.Resident{Model: w.Model}) {
-		return k.orderAdapter(w)
-	}
 	if k.reading.Busy || k.loading != nil {
 		return knapweedpulley.EngineOrder{}, false
 	}
+	if w.Adapter != "" && knapweedpulley.Holds(k.reading.Models, knapweedpulley.Resident{Model: w.Model}) {
+		return k.orderAdapter(w)
+	}
 	spec, known := k.spec.Models[w.Model]
 	if !known {
 		return knapweedpulley.EngineOrder{}, false
--- a/keeper/session.go
+++ b/keeper/session.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -16,6 +17,7 @@
 
 // session is one gateway that attends the keeper.
 type session struct {
+	gateway knapweedpulley.Member
 	reports chan knapweedpulley.EngineReport
 	demands map[knapweedpulley.Resident]knapweedpulley.ModelDemand
 	sent    knapweedpulley.EngineReport
@@ -87,6 +89,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.endpoint = n.Endpoint
+	s.gateway = n.Gateway
 	if spec, told := n.Engine.Get(); told {
 		k.spec = &spec
 	}
@@ -141,7 +144,7 @@
 // differs reports whether a gateway would decide otherwise by the new report.
 func differs(r, last *knapweedpulley.EngineReport, age time.Duration) bool {
 	if !slices.EqualFunc(r.Models, last.Models, sameModel) || !slices.Equal(r.Queue, last.Queue) ||
-		len(r.Loading) != len(last.Loading) || r.Gateways != last.Gateways {
+		len(r.Loading) != len(last.Loading) || !slices.Equal(r.Gateways, last.Gateways) {
 		return true
 	}
 	return age >= idlePeriod && (r.Running != last.Running || r.Waiting != last.Waiting)
@@ -151,10 +154,22 @@
 	return a.Model == b.Model && a.State == b.State && slices.Equal(a.Adapters, b.Adapters)
 }
 
+// gateways lists the gateways that attend, each once.
+func (k *Keeper) gateways() []knapweedpulley.Member {
+	var list []knapweedpulley.Member
+	for s := range k.sessions {
+		if s.gateway.Entry != "" {
+			list = append(list, s.gateway)
+		}
+	}
+	slices.SortFunc(list, func(a, b knapweedpulley.Member) int { return cmp.Compare(a.Entry, b.Entry) })
+	return slices.CompactFunc(list, func(a, b knapweedpulley.Member) bool { return a.Entry == b.Entry })
+}
+
 // report returns the present state.
 func (k *Keeper) report(now knapweedpulley.Instant) knapweedpulley.EngineReport {
 	r := k.reading.EngineReport
-	r.Gateways = len(k.sessions)
+	r.Gateways = k.gateways()
 	r.Queue = make([]knapweedpulley.Resident, 0, len(k.wishes))
 	for _, w := range k.wishes {
 		if k.loading == nil || w.Resident != k.loading.Resident {
--- a/link/keepermessages.go
+++ b/link/keepermessages.go
@@ -8,7 +8,9 @@
 )
 
 func encodeNote(n knapweedpulley.GatewayNote) *linkpb.KeeperNote {
-	m := &linkpb.KeeperNote{Endpoint: string(n.Endpoint), Demanded: n.Demanded}
+	m := &linkpb.KeeperNote{
+		Endpoint: string(n.Endpoint), Demanded: n.Demanded, Gateway: encodeGateway(n.Gateway),
+	}
 	if e, known := n.Engine.Get(); known {
 		m.Engine = encodeEngine(e)
 	}
@@ -31,6 +33,7 @@
 	n := knapweedpulley.GatewayNote{
 		Endpoint: knapweedpulley.EndpointID(m.GetEndpoint()),
 		Demanded: m.GetDemanded(),
+		Gateway:  decodeGateway(m.GetGateway()),
 	}
 	if e := m.GetEngine(); e != nil {
 		n.Engine = knapweedpulley.Some(decodeEngine(e))
@@ -92,12 +95,14 @@
 		Start: r.Start, Running: int64(r.Running), Waiting: int64(r.Waiting),
 		CacheUsed: int64(r.CacheUsed), CacheSize: int64(r.CacheSize),
 		Free: int64(r.Free), Evictable: int64(r.Evictable), Spare: int64(r.Spare),
-		Gateways: int64(r.Gateways),
 	}
 	for _, h := range r.Models {
 		held := &linkpb.KeeperHeld{Model: string(h.Model), State: string(h.State)}
 		for _, a := range h.Adapters {
-			held.Adapters = append(held.Adapters, string(a.Adapter))
+			// Gateways use only what is ready.
+			if a.State == knapweedpulley.StateLoaded {
+				held.Adapters = append(held.Adapters, string(a.Adapter))
+			}
 		}
 		m.Models = append(m.Models, held)
 	}
@@ -109,6 +114,9 @@
 			Model: string(l.Model), Adapter: string(l.Adapter), Tier: int64(l.Tier), LeftNanoseconds: int64(l.Left),
 		})
 	}
+	for _, g := range r.Gateways {
+		m.Gateways = append(m.Gateways, encodeGateway(g))
+	}
 	for _, q := range r.Queue {
 		m.Queue = append(m.Queue, &linkpb.KeeperResident{Model: string(q.Model), Adapter: string(q.Adapter)})
 	}
@@ -122,7 +130,6 @@
 		Free:      knapweedpulley.Bytes(m.GetFree()),
 		Evictable: knapweedpulley.Bytes(m.GetEvictable()),
 		Spare:     knapweedpulley.Bytes(m.GetSpare()),
-		Gateways:  int(m.GetGateways()),
 	}
 	for _, h := range m.GetModels() {
 		held := knapweedpulley.LoadedModel{
@@ -147,6 +154,9 @@
 			Left:     time.Duration(l.GetLeftNanoseconds()),
 		})
 	}
+	for _, g := range m.GetGateways() {
+		r.Gateways = append(r.Gateways, decodeGateway(g))
+	}
 	for _, q := range m.GetQueue() {
 		r.Queue = append(r.Queue, resident(q.GetModel(), q.GetAdapter()))
 	}
@@ -158,3 +168,16 @@
 		Model: knapweedpulley.ModelID(model), Adapter: knapweedpulley.AdapterID(adapter),
 	}
 }
+
+func encodeGateway(g knapweedpulley.Member) *linkpb.KeeperGateway {
+	return &linkpb.KeeperGateway{
+		Id: string(g.Entry), Incarnation: uint64(g.Incarnation), Zone: string(g.Zone), Address: g.Address,
+	}
+}
+
+func decodeGateway(m *linkpb.KeeperGateway) knapweedpulley.Member {
+	return knapweedpulley.Member{
+		Entry: knapweedpulley.EntryID(m.GetId()), Incarnation: knapweedpulley.Incarnation(m.GetIncarnation()),
+		Zone: knapweedpulley.ZoneID(m.GetZone()), Address: m.GetAddress(),
+	}
+}
--- a/membership.go
+++ b/membership.go
@@ -22,14 +22,19 @@
 	Valid() bool
 }
 
-// Membership is an entry's view of the entry processes.
-type Membership interface {
-	Lease
-	// Self returns the entry's own membership.
+// Group is a process's view of the processes of its kind.
+type Group interface {
+	// Self returns the process's own membership.
 	Self() Member
 	// Members returns all members, itself included, ordered by id. The slice is
 	// shared and must not be changed.
 	Members() []Member
+}
+
+// Membership is an entry's view of the entry processes.
+type Membership interface {
+	Lease
+	Group
 	// Owner returns the member that is responsible for the named subject. All
 	// entries with the same members agree on it.
 	Owner(subject string) Member
--- a/placement/attendance.go
+++ b/placement/attendance.go
@@ -116,7 +116,7 @@
 		case <-ticker.C:
 		case w := <-a.wakes:
 			if err := stream.Send(knapweedpulley.GatewayNote{
-				Endpoint: a.endpoint.ID(), Wakes: []knapweedpulley.ResidentWake{w},
+				Gateway: a.placer.self, Endpoint: a.endpoint.ID(), Wakes: []knapweedpulley.ResidentWake{w},
 			}); err != nil {
 				return
 			}
@@ -126,7 +126,7 @@
 
 // note tells how the models of the engine are used.
 func (a *attendance) note() knapweedpulley.GatewayNote {
-	n := knapweedpulley.GatewayNote{Endpoint: a.endpoint.ID(), Demanded: true}
+	n := knapweedpulley.GatewayNote{Gateway: a.placer.self, Endpoint: a.endpoint.ID(), Demanded: true}
 	for _, m := range a.endpoint.Models() {
 		n.Demands = append(n.Demands, a.demand(knapweedpulley.Resident{Model: m.Model}))
 		for _, d := range m.Adapters {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -38,6 +38,8 @@
 	RemoteLoads int
 	// Gateways is how many there are until that is known.
 	Gateways int
+	// Self is the gateway that the placer works for.
+	Self knapweedpulley.Member
 }
 
 // Placer has models loaded for one gateway.
@@ -48,6 +50,7 @@
 	clock       knapweedpulley.Clock
 	log         log.Interface
 	port        int
+	self        knapweedpulley.Member
 	remoteLoads int
 	gateways    atomic.Int64
 	services    atomic.Pointer[map[knapweedpulley.ServiceID]knapweedpulley.Service]
@@ -60,7 +63,7 @@
 // NewPlacer returns a placer. The clean-up closes the streams to the keepers.
 func NewPlacer(o Options) (*Placer, knapweedpulley.Cleanup) {
 	p := &Placer{
-		fleet: o.Fleet, demand: o.Demand, link: o.Link, clock: o.Clock, log: o.Log, port: o.Port,
+		fleet: o.Fleet, demand: o.Demand, link: o.Link, clock: o.Clock, log: o.Log, port: o.Port, self: o.Self,
 		remoteLoads: o.RemoteLoads,
 		wakes:       make(map[target]*wake),
 		kept:        make(map[knapweedpulley.EndpointID]*attendance),
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -179,8 +179,12 @@
 	model knapweedpulley.ModelSpec, w knapweedpulley.Resident,
 ) (time.Duration, knapweedpulley.CacheTier, bool) {
 	if w.Adapter != "" && knapweedpulley.Holds(r.Models, knapweedpulley.Resident{Model: w.Model}) {
-		// Loaded engines take adapters last.
-		return adapterTime + time.Duration(r.Running)*time.Millisecond, knapweedpulley.TierMemory, true
+		d := adapterTime + time.Duration(r.Running)*time.Millisecond
+		for _, l := range r.Loading {
+			// An engine takes no adapter while it loads a model.
+			d += max(0, l.Left-age)
+		}
+		return d, knapweedpulley.TierMemory, true
 	}
 	if r.Free+r.Evictable < model.Size {
 		return 0, 0, false
--- a/residency.go
+++ b/residency.go
@@ -34,8 +34,8 @@
 	// the part of it whose models are held elsewhere as well.
 	Evictable Bytes
 	Spare     Bytes
-	// Gateways counts the gateways that attend the keeper.
-	Gateways int
+	// Gateways lists the gateways that attend the keeper, ordered by id.
+	Gateways []Member
 }
 
 // Holds reports whether a model, and an adapter if one is named, is ready.
@@ -85,6 +85,8 @@
 
 // GatewayNote is what a gateway tells the keeper of an engine.
 type GatewayNote struct {
+	// Gateway is the gateway that sends the note.
+	Gateway Member
 	// Endpoint is the id under which the engine is registered.
 	Endpoint EndpointID
 	// Engine is what the configuration says of the engine.
@@ -165,3 +167,16 @@
 	// Attend serves one gateway until its stream ends.
 	Attend(ctx context.Context, s GatewayStream) error
 }
+
+// AllowanceLink reaches the other gateways' parts of the customers' contracts.
+type AllowanceLink interface {
+	// Borrow asks a gateway for tokens of its part. What it gives has left its
+	// part, whether or not the answer arrives.
+	Borrow(ctx context.Context, from Member, customer CustomerID, n Tokens) (Tokens, error)
+}
+
+// AllowanceLender gives tokens of its parts to other gateways.
+type AllowanceLender interface {
+	// Lend returns up to n tokens and takes them from the part.
+	Lend(customer CustomerID, n Tokens) Tokens
+}
