Spread busy models, and have rare ones wait for a disk copy

Change: one more holder from nine requests and 1.5 times the mean on; wishes lapse after 1.5 s unless repeated; those whose objective has passed come last; an engine with a disk copy that is in use is waited for; notes each 300 ms.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,9 @@
 		"events":   p.events,
 		"waitedMs": p.waited.Milliseconds(),
 		"firstMs":  p.first.Milliseconds(),
+		"pauseMs":  p.pause.Milliseconds(),
+		"load":     p.load,
+		"prompt":   p.call.Prompt,
 		"tookMs":   p.Clock.Now().Sub(p.call.Arrived).Milliseconds(),
 		"status":   p.status,
 	})
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -52,6 +52,11 @@
 	status   int
 	waited   time.Duration
 	first    time.Duration
+	// pause is the longest time between two events, eventAt when the last came.
+	pause   time.Duration
+	eventAt knapweedpulley.Instant
+	// load is the number of requests at the endpoint when it was chosen.
+	load int
 }
 
 func (p *passage) serve(ctx context.Context) error {
@@ -191,7 +196,7 @@
 			// All that could serve were tried. Those that refused may have room
 			// in a moment.
 			clear(p.avoid)
-			p.pause(ctx, changed)
+			p.rest(ctx, changed)
 			continue
 		}
 		if need.Weights.Model != "" {
@@ -206,8 +211,8 @@
 	}
 }
 
-// pause waits a moment, or for a change of the fleet.
-func (p *passage) pause(ctx context.Context, changed <-chan struct{}) {
+// rest waits a moment, or for a change of the fleet.
+func (p *passage) rest(ctx context.Context, changed <-chan struct{}) {
 	timer := time.NewTimer(refusalPause)
 	defer timer.Stop()
 	select {
@@ -237,6 +242,7 @@
 		Service:  p.admission.Service.ID,
 		Weights:  p.call.Weights(),
 		Priority: p.admission.Priority,
+		Aim:      p.call.Arrived.Add(p.admission.Route.Target),
 		Until:    min(p.deadline.Add(-lastSend), knapweedpulley.Instant(p.end.Load())),
 	}
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -31,6 +31,10 @@
 func (p *passage) send(ctx context.Context, e *fleet.Endpoint) (again bool, err error) {
 	p.sends++
 	p.endpoint = e.ID()
+	p.load = e.Load()
+	if p.call.Weights().Model != "" {
+		p.Placer.Grow(p.wish(), p.load)
+	}
 	visit := e.Enter(p.call.Prompt)
 	outcome := fleet.Unjudged
 	defer func() { visit.Leave(outcome) }()
@@ -231,6 +235,11 @@
 		return errors.Mark(err, errWriting)
 	}
 	p.events++
+	now := p.Clock.Now()
+	if p.events > 1 {
+		p.pause = max(p.pause, now.Sub(p.eventAt))
+	}
+	p.eventAt = now
 	if event.ID != "" {
 		p.lastEvent = event.ID
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -37,7 +37,7 @@
 	orderTimeout = 300 * time.Millisecond
 	// settle is the time after a load in which the requests that waited for it
 	// arrive, and in which it is not unloaded.
-	settle = time.Second
+	settle = 500 * time.Millisecond
 )
 
 // wish is a model or adapter that a gateway asked for.
--- a/placement/attendance.go
+++ b/placement/attendance.go
@@ -15,7 +15,7 @@
 
 const (
 	// notePeriod is the time between two notes to a keeper.
-	notePeriod = time.Second
+	notePeriod = 300 * time.Millisecond
 	// silence is the time without a report after which a stream is taken for
 	// dead: three of the keeper's longest periods.
 	silence = 1500 * time.Millisecond
@@ -25,7 +25,7 @@
 	lastRetry  = 2 * time.Second
 	// ratePerHolder is the requests a second that one engine serves well, by
 	// its time to read prompts: holders beyond that are spare.
-	ratePerHolder = 3.0
+	ratePerHolder = 4.0
 )
 
 // attendance is the stream to the keeper of one engine.
@@ -140,7 +140,7 @@
 	d := a.placer.demand
 	holders := a.placer.fleet.Holders(a.endpoint.Entry().Service, w)
 	rate := d.Rate(w)
-	needed := 1 + int(math.Ceil(rate*float64(a.placer.gateways.Load())/ratePerHolder))
+	needed := max(1, int(math.Ceil(rate*float64(a.placer.gateways.Load())/ratePerHolder)))
 	return knapweedpulley.ModelDemand{
 		Resident: w,
 		Active:   d.Active(a.endpoint.ID(), w),
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -16,8 +16,29 @@
 	// acceptance is the time in which a keeper's report shows a wake that was
 	// sent to it.
 	acceptance = 400 * time.Millisecond
+	// crowdedTime is the usual time until one of the models of an engine falls
+	// idle that are all in use: half of a long answer.
+	crowdedTime = 1500 * time.Millisecond
+	// wishLifetime is how long a keeper keeps a wish that isn't repeated, and
+	// wishRepeat when it is repeated: nobody may wait for it any more.
+	wishLifetime = 1500 * time.Millisecond
+	wishRepeat   = 600 * time.Millisecond
+	// latePriority ranks a wish whose request has missed its objective behind
+	// all that can still meet theirs.
+	latePriority = 10
 	// evictionTime is what an unload before a load takes.
 	evictionTime = 150 * time.Millisecond
+	// growLoad is the number of requests at the least busy holder of a model
+	// from which on one more is worth a load: with about ten requests at once,
+	// the prompts that engines read in between make streams pause for longer
+	// than callers like.
+	growLoad = 9
+	// growRatio is the load in means of the service from which on that is so:
+	// where all are as busy, one more holder takes a place and helps nobody.
+	growRatio = 1.5
+	// loadWeight is how much later an endpoint's load counts as done for each
+	// request that it has.
+	loadWeight = 40 * time.Millisecond
 	// adapterTime is what the load of an adapter takes, orders included.
 	adapterTime = 50 * time.Millisecond
 )
@@ -41,6 +62,8 @@
 	Service  knapweedpulley.ServiceID
 	Weights  knapweedpulley.Resident
 	Priority int
+	// Aim is the objective of the request.
+	Aim knapweedpulley.Instant
 	// Until is when the request gives up.
 	Until knapweedpulley.Instant
 }
@@ -76,6 +99,25 @@
 	}
 }
 
+// Grow has one more endpoint load what is wished for if those that hold it are
+// busy: the best of them had so many requests.
+func (p *Placer) Grow(w Wish, load int) {
+	if load < growLoad || float64(load) < growRatio*p.meanLoad(w.Service) {
+		return
+	}
+	p.wake(target{service: w.Service, weights: w.Weights}, w)
+}
+
+// meanLoad returns the mean number of requests at the endpoints of a service.
+func (p *Placer) meanLoad(id knapweedpulley.ServiceID) float64 {
+	endpoints := p.fleet.Service(id)
+	total := 0
+	for _, e := range endpoints {
+		total += e.Load()
+	}
+	return float64(total) / float64(max(1, len(endpoints)))
+}
+
 // wake asks a keeper for a target unless that was done. It returns the time
 // until it is loaded, if any endpoint can load it.
 func (p *Placer) wake(t target, w Wish) (time.Duration, bool) {
@@ -83,6 +125,9 @@
 	defer p.mu.Unlock()
 	if last, asked := p.wakes[t]; asked {
 		if eta, going := p.progress(t, last); going {
+			if p.clock.Now().Sub(last.sent) > wishRepeat {
+				p.ask(last, t, w)
+			}
 			return eta, true
 		}
 		delete(p.wakes, t)
@@ -94,23 +139,38 @@
 	if tier == knapweedpulley.TierRemote && p.remoteLoadsOf(t.service) >= p.remoteLoads {
 		return eta, true
 	}
-	a := p.kept[e.ID()]
-	if a == nil {
-		return 0, false
-	}
-	select {
-	case a.wakes <- knapweedpulley.ResidentWake{
-		Resident: t.weights, Priority: w.Priority, Expires: w.Until.Sub(p.clock.Now()),
-	}:
-	default:
+	asked := &wake{endpoint: e, remote: tier == knapweedpulley.TierRemote}
+	if !p.ask(asked, t, w) {
 		return 0, false
 	}
-	p.wakes[t] = &wake{endpoint: e, sent: p.clock.Now(), remote: tier == knapweedpulley.TierRemote}
+	p.wakes[t] = asked
 	p.log.WithField("model", t.weights.Model).WithField("adapter", t.weights.Adapter).
 		WithField("endpoint", e.ID()).WithField("tier", tier).WithField("expected", eta.String()).Info("load asked for")
 	return eta, true
 }
 
+// ask sends a wish to the keeper that was chosen for it.
+func (p *Placer) ask(k *wake, t target, w Wish) bool {
+	a := p.kept[k.endpoint.ID()]
+	if a == nil {
+		return false
+	}
+	now := p.clock.Now()
+	r := knapweedpulley.ResidentWake{
+		Resident: t.weights, Priority: w.Priority, Expires: min(wishLifetime, w.Until.Sub(now)),
+	}
+	if now.After(w.Aim) {
+		r.Priority += latePriority
+	}
+	select {
+	case a.wakes <- r:
+		k.sent = now
+		return true
+	default:
+		return false
+	}
+}
+
 // progress returns the time that a wake still takes, and false if its endpoint
 // no longer works on it.
 func (p *Placer) progress(t target, w *wake) (time.Duration, bool) {
@@ -157,13 +217,14 @@
 	var bestRank uint64
 	for _, e := range p.fleet.Service(t.service) {
 		r, age, fresh := e.Report()
-		if !fresh || e.Avoided() {
+		if !fresh || e.Avoided() || knapweedpulley.Holds(r.Models, t.weights) {
 			continue
 		}
 		d, tier, fits := loadTime(r, age, spec, model, t.weights)
 		if !fits {
 			continue
 		}
+		d += time.Duration(e.Load()) * loadWeight
 		rank := fleet.Rank(string(t.weights.Model)+"/"+string(t.weights.Adapter), e.ID())
 		if best == nil || d < bestTime || (d == bestTime && rank > bestRank) {
 			best, bestTime, bestTier, bestRank = e, d, tier, rank
@@ -186,12 +247,14 @@
 		}
 		return d, knapweedpulley.TierMemory, true
 	}
-	if r.Free+r.Evictable < model.Size {
-		return 0, 0, false
-	}
 	tier := tierOf(r, w.Model)
 	d := backlog(r, age, spec) + model.LoadTime(tier)
 	switch {
+	case r.Free+r.Evictable < model.Size:
+		if tier == knapweedpulley.TierRemote {
+			return 0, 0, false
+		}
+		d += crowdedTime
 	case r.Free >= model.Size:
 	case r.Free+r.Spare >= model.Size:
 		d += evictionTime
