--- /dev/null
+++ b/cmd/gateway/settings_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpulley/knapweedpulley/settings"
+)
+
+// rendered returns the deployed template with the values of a day.
+func rendered(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/gateway.json.tmpl")
+	is.New(t).NoErr(err)
+	return strings.NewReplacer(
+		"{{node|json}}", `"front-1"`, "{{zone|json}}", `"a"`, "{{ip}}", "10.0.0.1",
+		"{{listen.front|json}}", `"10.0.0.1:8221"`, "{{listen.ready|json}}", `"10.0.0.1:8224"`,
+		"{{portRange.0|json}}", "7600", "{{portRange.0}}", "7600", "{{platform.address|json}}", `"10.0.9.9:8225"`,
+		"{{bounds.graceS}}", "8", "{{bounds.budgetSlack|json}}", "54", "{{limits.memoryMb|json}}", "284",
+	).Replace(string(text))
+}
+
+func assertFault(t *testing.T, text, part string) {
+	t.Helper()
+	_, err := settings.Parse[Settings]([]byte(text))
+	is.New(t).True(err != nil)
+	is.New(t).True(strings.Contains(err.Error(), part))
+}
+
+func TestSettings(t *testing.T) {
+	good := rendered(t)
+	t.Run("the deployed template gives good settings", func(t *testing.T) {
+		is := is.New(t)
+		s, err := settings.Parse[Settings]([]byte(good))
+		is.NoErr(err)
+		is.Equal(s.KeeperPort, 7600)
+		is.Equal(s.Links, "10.0.0.1:7600")
+	})
+	t.Run("each fault is named with its value and what is allowed", func(t *testing.T) {
+		assertFault(t, strings.Replace(good, `"8s"`, `"1s"`, 1), `grace: "1s" must be at least`)
+		assertFault(t, strings.Replace(good, `"10.0.0.1:8221"`, `"nowhere"`, 1), `callers: "nowhere" must be host:port`)
+		assertFault(t, strings.Replace(good, `"remoteLoads": 4`, `"remoteLoads": 0`, 1), `remoteLoads: "0" must be above 0`)
+		assertFault(t, strings.Replace(good, `"logLevel": "info"`, `"logLevel": "loud"`, 1), `logLevel: "loud"`)
+		assertFault(t, strings.Replace(good, `"zone"`, `"zoen"`, 1), `unknown field "zoen"`)
+	})
+}
