Close the connections beside one that fell silent

Cause: connections of all machines can fall silent together; the pool went on to use the others to the same endpoint.

--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -123,6 +123,8 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
+		// What silenced this connection may have silenced the others too.
+		p.forget(m.Address)
 		return nil, Refuse(ctx, err, knapweedpulley.MayHaveRun)
 	}
 	a.stop = stop
@@ -217,6 +219,16 @@
 	return c
 }
 
+// forget closes the kept connections to an address.
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // sound reports whether a kept connection has neither been closed nor got bytes
 // that nobody asked for, nor outlived the endpoint's timeout.
 func (c *conn) sound() bool {
--- a/engine/exchange/pool_test.go
+++ b/engine/exchange/pool_test.go
@@ -193,6 +193,48 @@
 	})
 }
 
+func TestSilence(t *testing.T) {
+	t.Run("connections beside one that fell silent are not used again", func(t *testing.T) {
+		is := is.New(t)
+		var silent atomic.Bool
+		started := make(chan struct{}, 2)
+		release := make(chan struct{})
+		b := newBackend(t, func(conn *net.TCPConn, r *http.Request) bool {
+			if r.Header.Get("Hold") != "" {
+				started <- struct{}{}
+				<-release
+			}
+			if silent.Load() {
+				time.Sleep(time.Second)
+				return false
+			}
+			return echo(conn, r)
+		})
+		p := newPool(t)
+		done := make(chan struct{}, 2)
+		for _, id := range []string{"a", "b"} {
+			go func() {
+				m := message(b, id)
+				m.Header.Set("Hold", "1")
+				_, _ = get(p, m)
+				done <- struct{}{}
+			}()
+			<-started
+		}
+		close(release)
+		<-done
+		<-done
+		silent.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := p.Send(ctx, message(b, "c")) //nolint:bodyclose // It fails.
+		is.True(err != nil)
+		silent.Store(false)
+		assertBody(t, p, message(b, "d"), "to d")
+		is.Equal(b.connections.Load(), int64(3))
+	})
+}
+
 func TestAnswerEnds(t *testing.T) {
 	t.Run("an answer without a length ends with its connection", func(t *testing.T) {
 		b := newBackend(t, func(conn *net.TCPConn, _ *http.Request) bool {
