Send keepers' reports as changes, and watch endpoints twice a second

Change: a report leaves out what hasn't changed; keepers tell many gateways less often and say how long a report holds; notes are sent on change; half a second between two watches of the endpoints.

--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -27,7 +27,8 @@
 	// RepeatSlack bounds, beside a part of the requests, how many are sent once
 	// more, over all gateways.
 	RepeatSlack float64 `json:"repeatSlack"`
-	// Gateways is how many there are until a keeper tells.
+	// Gateways is how many there are until a keeper tells: rather too many, as
+	// each takes an equal part of what all have together.
 	Gateways int `json:"gateways"`
 	// RemoteLoads is how many loads from the weight store run at once at full
 	// speed.
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// reportLifetime is the age up to which a keeper's report goes before the
-	// endpoint's entry in the store: three of the keeper's longest periods.
-	reportLifetime = 1500 * time.Millisecond
 	// firstAvoid and lastAvoid bound the time for which an endpoint is avoided
 	// after a broken connection; the time doubles with each one in a row.
 	firstAvoid = 200 * time.Millisecond
@@ -75,7 +72,7 @@
 		return nil, 0, false
 	}
 	age := e.clock.Now().Sub(h.at)
-	return &h.EngineReport, age, age < reportLifetime
+	return &h.EngineReport, age, age < h.Lifetime
 }
 
 // Models returns what the endpoint holds, by the latest of what is known.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -12,6 +12,9 @@
 	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
 
+// lifetime is how long a report holds in these tests.
+const lifetime = 1500 * time.Millisecond
+
 func loaded(models ...knapweedpulley.ModelID) []knapweedpulley.LoadedModel {
 	list := make([]knapweedpulley.LoadedModel, 0, len(models))
 	for _, m := range models {
@@ -102,14 +105,14 @@
 	inBubble("a fresh report goes before the entry", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home", "m")})
 		changed := f.Changed()
-		f.Hear(f.Endpoints()["a"], knapweedpulley.EngineReport{Start: 1, Models: loaded("n")})
+		f.Hear(f.Endpoints()["a"], knapweedpulley.EngineReport{Lifetime: lifetime, Start: 1, Models: loaded("n")})
 		<-changed
 		assertChoice(t, f, need("m"), "")
 		assertChoice(t, f, need("n"), "a")
 	})
 	inBubble("a report on an earlier run doesn't count", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home", "m")})
-		f.Hear(f.Endpoints()["a"], knapweedpulley.EngineReport{Start: 0, Models: loaded("n")})
+		f.Hear(f.Endpoints()["a"], knapweedpulley.EngineReport{Lifetime: lifetime, Start: 0, Models: loaded("n")})
 		assertChoice(t, f, need("m"), "a")
 	})
 	inBubble("requests of others count beside one's own", t, func(t *testing.T, f *fleet.Fleet) {
@@ -117,7 +120,7 @@
 		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home", "m")})
 		e := f.Endpoints()["a"]
 		visit := e.Enter(0)
-		f.Hear(e, knapweedpulley.EngineReport{Start: 1, Models: loaded("m"), Running: 5})
+		f.Hear(e, knapweedpulley.EngineReport{Lifetime: lifetime, Start: 1, Models: loaded("m"), Running: 5})
 		is.Equal(e.Load(), 5)
 		visit.Leave(fleet.Answered)
 		is.Equal(e.Load(), 4)
@@ -136,9 +139,9 @@
 	inBubble("the longest list of gateways counts", t, func(t *testing.T, f *fleet.Fleet) {
 		is := is.New(t)
 		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home"), entry("b", "home")})
-		f.Hear(f.Endpoints()["a"], knapweedpulley.EngineReport{Start: 1, Gateways: []knapweedpulley.Member{{Entry: "x"}}})
+		f.Hear(f.Endpoints()["a"], knapweedpulley.EngineReport{Lifetime: lifetime, Start: 1, Gateways: []knapweedpulley.Member{{Entry: "x"}}})
 		f.Hear(f.Endpoints()["b"], knapweedpulley.EngineReport{
-			Start: 1, Gateways: []knapweedpulley.Member{{Entry: "x"}, {Entry: "y"}},
+			Lifetime: lifetime, Start: 1, Gateways: []knapweedpulley.Member{{Entry: "x"}, {Entry: "y"}},
 		})
 		list, known := f.Gateways()
 		is.True(known)
--- a/installation/collection.go
+++ b/installation/collection.go
@@ -17,6 +17,10 @@
 	// noticed that much later, which must fit the 2 s in which a configuration
 	// comes into force, beside the 3 s that follow such a fault.
 	watchWait = 2500 * time.Millisecond
+	// changePause is the time between two watches of a collection that changes
+	// all the time, as endpoints report themselves each second or so: each call
+	// is paid for. What leaves must get no work after two seconds.
+	changePause = 500 * time.Millisecond
 	// firstPause and lastPause bound the time between two calls to a store that
 	// fails; the pause doubles in between.
 	firstPause = 50 * time.Millisecond
@@ -31,6 +35,8 @@
 	// replaced gets the whole content, changed the changes after it.
 	replaced func(l knapweedpulley.Listing)
 	changed  func(c knapweedpulley.Change)
+	// pause is the time between two watches.
+	pause time.Duration
 	// lost and regained tell of the store.
 	lost     func()
 	regained func()
@@ -51,6 +57,7 @@
 				c.regained()
 				c.log.WithField("kind", c.kind).WithField("revision", revision).Info("store answers again")
 			}
+			_ = machine.Pause(ctx, c.pause)
 			continue
 		}
 		if errors.Is(err, knapweedpulley.ErrCompacted) {
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -75,7 +75,7 @@
 	endpoints := &collection{
 		store: objects, kind: knapweedpulley.KindEndpoints, log: log,
 		replaced: f.replaceEndpoints, changed: f.changeEndpoint,
-		lost: f.storeLost, regained: f.storeRegained,
+		lost: f.storeLost, regained: f.storeRegained, pause: changePause,
 	}
 	running.Go(func() { configuration.follow(ctx) })
 	running.Go(func() { endpoints.follow(ctx) })
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -82,6 +82,13 @@
 	r, err := w.store.Put(w.t.Context(), kind, name, data, w.revisions[name])
 	is.New(w.t).NoErr(err)
 	w.revisions[name] = r
+	w.settle()
+}
+
+// settle waits for a change to be followed: half of the time in which work for
+// an endpoint that leaves must end.
+func (w *world) settle() {
+	time.Sleep(time.Second)
 	synctest.Wait()
 }
 
@@ -90,7 +97,7 @@
 	_, err := w.store.Delete(w.t.Context(), knapweedpulley.KindEndpoints, name, w.revisions[name])
 	is.New(w.t).NoErr(err)
 	delete(w.revisions, name)
-	synctest.Wait()
+	w.settle()
 }
 
 func (w *world) configure(version knapweedpulley.Version) {
@@ -204,9 +211,9 @@
 			w.assertUses("lapsed", true)
 			w.store.SetDown(false)
 			w.remove("lapsed")
-			w.remove("back")
-			time.Sleep(1500 * time.Millisecond)
 			w.assertUses("lapsed", true)
+			w.remove("back")
+			w.assertUses("back", true)
 			w.register("back")
 			time.Sleep(2500 * time.Millisecond)
 			w.assertUses("lapsed", false)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -29,7 +29,7 @@
 	// on the engine's own machine.
 	busyPeriod = 40 * time.Millisecond
 	idlePeriod = 250 * time.Millisecond
-	// reportPeriod is the longest time between two reports to a gateway.
+	// reportPeriod is the longest time between two reports to a few gateways.
 	reportPeriod = 500 * time.Millisecond
 	// readTimeout bounds one reading, orderTimeout one order: both go to the
 	// machine itself.
--- a/keeper/session.go
+++ b/keeper/session.go
@@ -15,6 +15,15 @@
 // gone: three of its periods.
 const gatewaySilence = 3 * time.Second
 
+const (
+	// reportsInLife is the number of reports that are due while one holds.
+	reportsInLife = 3
+	// gatewaysAtOnce is the number of gateways that are told of each change of
+	// the load: beyond, each is told less often, so that a keeper's work stays
+	// about as it is.
+	gatewaysAtOnce = 8
+)
+
 // session is one gateway that attends the keeper.
 type session struct {
 	gateway knapweedpulley.Member
@@ -128,8 +137,11 @@
 	defer k.mu.Unlock()
 	now := k.clock.Now()
 	r := k.report(now)
+	loadPeriod := idlePeriod * time.Duration(1+len(r.Gateways)/gatewaysAtOnce)
+	r.Lifetime = max(reportPeriod, loadPeriod) * reportsInLife
 	for s := range k.sessions {
-		if now.Sub(s.sentAt) < reportPeriod && !differs(&r, &s.sent, now.Sub(s.sentAt)) {
+		age := now.Sub(s.sentAt)
+		if age < r.Lifetime/reportsInLife && !differs(&r, &s.sent, age >= loadPeriod) {
 			continue
 		}
 		select {
@@ -142,12 +154,12 @@
 }
 
 // differs reports whether a gateway would decide otherwise by the new report.
-func differs(r, last *knapweedpulley.EngineReport, age time.Duration) bool {
+func differs(r, last *knapweedpulley.EngineReport, byLoad bool) bool {
 	if !slices.EqualFunc(r.Models, last.Models, sameModel) || !slices.Equal(r.Queue, last.Queue) ||
 		len(r.Loading) != len(last.Loading) || !slices.Equal(r.Gateways, last.Gateways) {
 		return true
 	}
-	return age >= idlePeriod && (r.Running != last.Running || r.Waiting != last.Waiting)
+	return byLoad && (r.Running != last.Running || r.Waiting != last.Waiting)
 }
 
 func sameModel(a, b knapweedpulley.LoadedModel) bool {
--- a/link/keepermessages.go
+++ b/link/keepermessages.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"slices"
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
@@ -90,62 +91,86 @@
 	return e
 }
 
-func encodeEngineReport(r knapweedpulley.EngineReport) *linkpb.KeeperReport {
+// encodeReportChange encodes a report. What is as in the last one is left out.
+func encodeReportChange(r, last *knapweedpulley.EngineReport) *linkpb.KeeperReport {
 	m := &linkpb.KeeperReport{
 		Start: r.Start, Running: int64(r.Running), Waiting: int64(r.Waiting),
 		CacheUsed: int64(r.CacheUsed), CacheSize: int64(r.CacheSize),
 		Free: int64(r.Free), Evictable: int64(r.Evictable), Spare: int64(r.Spare),
+		LifetimeNanoseconds: int64(r.Lifetime),
 	}
-	for _, h := range r.Models {
-		held := &linkpb.KeeperHeld{Model: string(h.Model), State: string(h.State)}
-		for _, a := range h.Adapters {
-			// Gateways use only what is ready.
-			if a.State == knapweedpulley.StateLoaded {
-				held.Adapters = append(held.Adapters, string(a.Adapter))
-			}
+	if last == nil || !slices.EqualFunc(r.Models, last.Models, sameHeld) {
+		m.Models = encodeModels(r.Models)
+	}
+	if last == nil || !slices.Equal(r.Cached, last.Cached) {
+		m.Cached = &linkpb.KeeperCache{}
+		for _, c := range r.Cached {
+			m.Cached.Cached = append(m.Cached.Cached, &linkpb.KeeperCached{Model: string(c.Model), Tier: int64(c.Tier)})
 		}
-		m.Models = append(m.Models, held)
 	}
-	for _, c := range r.Cached {
-		m.Cached = append(m.Cached, &linkpb.KeeperCached{Model: string(c.Model), Tier: int64(c.Tier)})
+	if last == nil || !slices.Equal(r.Gateways, last.Gateways) {
+		m.Gateways = &linkpb.KeeperGateways{}
+		for _, g := range r.Gateways {
+			m.Gateways.Gateways = append(m.Gateways.Gateways, encodeGateway(g))
+		}
 	}
 	for _, l := range r.Loading {
 		m.Loading = append(m.Loading, &linkpb.KeeperLoading{
 			Model: string(l.Model), Adapter: string(l.Adapter), Tier: int64(l.Tier), LeftNanoseconds: int64(l.Left),
 		})
 	}
-	for _, g := range r.Gateways {
-		m.Gateways = append(m.Gateways, encodeGateway(g))
-	}
 	for _, q := range r.Queue {
 		m.Queue = append(m.Queue, &linkpb.KeeperResident{Model: string(q.Model), Adapter: string(q.Adapter)})
 	}
 	return m
 }
 
-func decodeEngineReport(m *linkpb.KeeperReport) knapweedpulley.EngineReport {
+func encodeModels(models []knapweedpulley.LoadedModel) *linkpb.KeeperModels {
+	m := &linkpb.KeeperModels{}
+	for _, h := range models {
+		held := &linkpb.KeeperHeld{Model: string(h.Model), State: string(h.State)}
+		for _, a := range h.Adapters {
+			// Gateways use only what is ready.
+			if a.State == knapweedpulley.StateLoaded {
+				held.Adapters = append(held.Adapters, string(a.Adapter))
+			}
+		}
+		m.Models = append(m.Models, held)
+	}
+	return m
+}
+
+func sameHeld(a, b knapweedpulley.LoadedModel) bool {
+	return a.Model == b.Model && a.State == b.State && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// decodeReportChange completes a report by what has not changed since the last.
+func decodeReportChange(m *linkpb.KeeperReport, last *knapweedpulley.EngineReport) knapweedpulley.EngineReport {
 	r := knapweedpulley.EngineReport{
 		Start: m.GetStart(), Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()),
 		CacheUsed: knapweedpulley.Tokens(m.GetCacheUsed()), CacheSize: knapweedpulley.Tokens(m.GetCacheSize()),
 		Free:      knapweedpulley.Bytes(m.GetFree()),
 		Evictable: knapweedpulley.Bytes(m.GetEvictable()),
 		Spare:     knapweedpulley.Bytes(m.GetSpare()),
+		Lifetime:  time.Duration(m.GetLifetimeNanoseconds()),
+		Models:    last.Models, Cached: last.Cached, Gateways: last.Gateways,
 	}
-	for _, h := range m.GetModels() {
-		held := knapweedpulley.LoadedModel{
-			Model: knapweedpulley.ModelID(h.GetModel()), State: knapweedpulley.LoadState(h.GetState()),
-		}
-		for _, a := range h.GetAdapters() {
-			held.Adapters = append(held.Adapters, knapweedpulley.LoadedAdapter{
-				Adapter: knapweedpulley.AdapterID(a), State: knapweedpulley.StateLoaded,
+	if m.GetModels() != nil {
+		r.Models = decodeModels(m.GetModels())
+	}
+	if m.GetCached() != nil {
+		r.Cached = nil
+		for _, c := range m.GetCached().GetCached() {
+			r.Cached = append(r.Cached, knapweedpulley.CachedCheckpoint{
+				Model: knapweedpulley.ModelID(c.GetModel()), Tier: knapweedpulley.CacheTier(c.GetTier()),
 			})
 		}
-		r.Models = append(r.Models, held)
 	}
-	for _, c := range m.GetCached() {
-		r.Cached = append(r.Cached, knapweedpulley.CachedCheckpoint{
-			Model: knapweedpulley.ModelID(c.GetModel()), Tier: knapweedpulley.CacheTier(c.GetTier()),
-		})
+	if m.GetGateways() != nil {
+		r.Gateways = nil
+		for _, g := range m.GetGateways().GetGateways() {
+			r.Gateways = append(r.Gateways, decodeGateway(g))
+		}
 	}
 	for _, l := range m.GetLoading() {
 		r.Loading = append(r.Loading, knapweedpulley.LoadInProgress{
@@ -154,15 +179,28 @@
 			Left:     time.Duration(l.GetLeftNanoseconds()),
 		})
 	}
-	for _, g := range m.GetGateways() {
-		r.Gateways = append(r.Gateways, decodeGateway(g))
-	}
 	for _, q := range m.GetQueue() {
 		r.Queue = append(r.Queue, resident(q.GetModel(), q.GetAdapter()))
 	}
 	return r
 }
 
+func decodeModels(m *linkpb.KeeperModels) []knapweedpulley.LoadedModel {
+	models := make([]knapweedpulley.LoadedModel, 0, len(m.GetModels()))
+	for _, h := range m.GetModels() {
+		held := knapweedpulley.LoadedModel{
+			Model: knapweedpulley.ModelID(h.GetModel()), State: knapweedpulley.LoadState(h.GetState()),
+		}
+		for _, a := range h.GetAdapters() {
+			held.Adapters = append(held.Adapters, knapweedpulley.LoadedAdapter{
+				Adapter: knapweedpulley.AdapterID(a), State: knapweedpulley.StateLoaded,
+			})
+		}
+		models = append(models, held)
+	}
+	return models
+}
+
 func resident(model, adapter string) knapweedpulley.Resident {
 	return knapweedpulley.Resident{
 		Model: knapweedpulley.ModelID(model), Adapter: knapweedpulley.AdapterID(adapter),
--- a/link/keepers.go
+++ b/link/keepers.go
@@ -39,6 +39,8 @@
 type keeperStream struct {
 	stream grpc.BidiStreamingClient[linkpb.KeeperNote, linkpb.KeeperReport]
 	forget func()
+	// last is the report that the next one builds on.
+	last knapweedpulley.EngineReport
 }
 
 // Send implements knapweedpulley.KeeperStream.
@@ -53,7 +55,8 @@
 		s.forget()
 		return knapweedpulley.EngineReport{}, errors.Wrap(err, "receive a report")
 	}
-	return decodeEngineReport(m), nil
+	s.last = decodeReportChange(m, &s.last)
+	return s.last, nil
 }
 
 // keeperServer serves a keeper to the gateways.
@@ -75,11 +78,15 @@
 // gatewayStream implements knapweedpulley.GatewayStream.
 type gatewayStream struct {
 	stream grpc.BidiStreamingServer[linkpb.KeeperNote, linkpb.KeeperReport]
+	// last is the report that the next one builds on.
+	last *knapweedpulley.EngineReport
 }
 
 // Send implements knapweedpulley.GatewayStream.
 func (s *gatewayStream) Send(r knapweedpulley.EngineReport) error {
-	return errors.Wrap(s.stream.Send(encodeEngineReport(r)), "send a report")
+	m := encodeReportChange(&r, s.last)
+	s.last = &r
+	return errors.Wrap(s.stream.Send(m), "send a report")
 }
 
 // Receive implements knapweedpulley.GatewayStream.
--- /dev/null
+++ b/link/keepers_test.go
@@ -0,0 +1,125 @@
+package link_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/link"
+)
+
+// scriptedKeeper sends reports and passes on the notes that it gets.
+type scriptedKeeper struct {
+	reports []knapweedpulley.EngineReport
+	notes   chan knapweedpulley.GatewayNote
+}
+
+func (k *scriptedKeeper) Attend(_ context.Context, s knapweedpulley.GatewayStream) error {
+	for _, r := range k.reports {
+		if err := s.Send(r); err != nil {
+			return err
+		}
+	}
+	for {
+		n, err := s.Receive()
+		if err != nil {
+			return nil
+		}
+		k.notes <- n
+	}
+}
+
+// attendKeeper connects to a keeper over gRPC.
+func attendKeeper(t *testing.T, k *scriptedKeeper) knapweedpulley.KeeperStream {
+	t.Helper()
+	is := is.New(t)
+	server, closeServer, err := link.NewServer("127.0.0.1:0", nil, func(r grpc.ServiceRegistrar) {
+		link.RegisterKeeper(r, k)
+	})
+	is.NoErr(err)
+	connections, closeConnections := link.NewConnections(nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		cancel()
+		closeConnections()
+		closeServer()
+	})
+	s, err := link.NewKeepers(connections).Attend(ctx, server.Address())
+	is.NoErr(err)
+	return s
+}
+
+func report(running int, models ...knapweedpulley.ModelID) knapweedpulley.EngineReport {
+	r := knapweedpulley.EngineReport{
+		Start: 9, Running: running, Waiting: 1, CacheUsed: 2, CacheSize: 3, Free: 4, Evictable: 5, Spare: 6,
+		Lifetime: time.Second,
+		Cached:   []knapweedpulley.CachedCheckpoint{{Model: "c", Tier: knapweedpulley.TierDisk}},
+		Gateways: []knapweedpulley.Member{{Entry: "one", Incarnation: 2, Zone: "a", Address: "10.0.0.1:7"}},
+		Queue:    []knapweedpulley.Resident{{Model: "q", Adapter: "x"}},
+		Loading: []knapweedpulley.LoadInProgress{{
+			Resident: knapweedpulley.Resident{Model: "l"}, Tier: knapweedpulley.TierRemote, Left: time.Second,
+		}},
+	}
+	for _, m := range models {
+		r.Models = append(r.Models, knapweedpulley.LoadedModel{
+			Model: m, State: knapweedpulley.StateLoaded,
+			Adapters: []knapweedpulley.LoadedAdapter{{Adapter: "x", State: knapweedpulley.StateLoaded}},
+		})
+	}
+	return r
+}
+
+func TestKeepers(t *testing.T) {
+	t.Run("each report arrives whole, though only changes are sent", func(t *testing.T) {
+		is := is.New(t)
+		without := report(4, "a")
+		without.Cached, without.Gateways = nil, nil
+		sent := []knapweedpulley.EngineReport{report(1, "a"), report(2, "a"), report(3, "a", "b"), without, report(5)}
+		s := attendKeeper(t, &scriptedKeeper{reports: sent})
+		for _, want := range sent {
+			got, err := s.Receive()
+			is.NoErr(err)
+			is.Equal(got.Running, want.Running)
+			is.Equal(len(got.Models), len(want.Models))
+			is.Equal(len(got.Cached), len(want.Cached))
+			is.Equal(len(got.Gateways), len(want.Gateways))
+			is.Equal(got.Loading, want.Loading)
+			is.Equal(got.Queue, want.Queue)
+			is.Equal(got.Lifetime, want.Lifetime)
+		}
+	})
+	t.Run("an adapter on its way isn't told", func(t *testing.T) {
+		is := is.New(t)
+		r := report(1, "a")
+		r.Models[0].Adapters[0].State = knapweedpulley.StateLoading
+		got, err := attendKeeper(t, &scriptedKeeper{reports: []knapweedpulley.EngineReport{r}}).Receive()
+		is.NoErr(err)
+		is.Equal(len(got.Models[0].Adapters), 0)
+	})
+	t.Run("a note arrives as it was sent", func(t *testing.T) {
+		is := is.New(t)
+		k := &scriptedKeeper{notes: make(chan knapweedpulley.GatewayNote, 1)}
+		sent := knapweedpulley.GatewayNote{
+			Gateway:  knapweedpulley.Member{Entry: "one", Incarnation: 2, Zone: "a", Address: "10.0.0.1:7"},
+			Endpoint: "i-1", Demanded: true,
+			Engine: knapweedpulley.Some(knapweedpulley.EngineSpec{
+				Slots: 1, Cache: 2, Memory: 3, AdapterSlots: 4, LoadsPerSecond: 4.5,
+				Models: map[knapweedpulley.ModelID]knapweedpulley.ModelSpec{"m": {
+					Model: "m", Size: 1, AdapterSize: 2, Load: 3, Disk: 4, Warm: 5,
+				}},
+			}),
+			Wakes: []knapweedpulley.ResidentWake{{
+				Resident: knapweedpulley.Resident{Model: "m", Adapter: "x"}, Expires: time.Second, Priority: 2,
+			}},
+			Demands: []knapweedpulley.ModelDemand{{
+				Resident: knapweedpulley.Resident{Model: "m"}, Active: 1, Rate: 2.5, Holders: 3, Spare: true,
+			}},
+		}
+		is.NoErr(attendKeeper(t, k).Send(sent))
+		is.Equal(<-k.notes, sent)
+	})
+}
--- a/placement/attendance.go
+++ b/placement/attendance.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,9 +17,16 @@
 const (
 	// notePeriod is the time between two notes to a keeper.
 	notePeriod = 300 * time.Millisecond
-	// silence is the time without a report after which a stream is taken for
-	// dead: three of the keeper's longest periods.
-	silence = 1500 * time.Millisecond
+	// firstSilence is the time without a first report after which a stream is
+	// taken for dead. Later ones tell themselves how long they hold.
+	firstSilence = 1500 * time.Millisecond
+	// repeatPeriod is the time after which a note is sent though nothing has
+	// changed, so that the keeper knows that the gateway is there.
+	repeatPeriod = time.Second
+	// rateChange is the ratio by which a rate has changed if it is told again,
+	// and leastRate is the rate below which it doesn't matter.
+	rateChange = 1.3
+	leastRate  = 0.1
 	// firstRetry and lastRetry bound the time between two attempts to reach a
 	// keeper; the time doubles in between.
 	firstRetry = 100 * time.Millisecond
@@ -33,7 +41,17 @@
 	placer   *Placer
 	endpoint *fleet.Endpoint
 	wakes    chan knapweedpulley.ResidentWake
-	cancel   context.CancelFunc
+	// turns has the sender look whether there is something to tell.
+	turns  chan struct{}
+	cancel context.CancelFunc
+}
+
+// turn has the use of the models told if it has changed.
+func (a *attendance) turn() {
+	select {
+	case a.turns <- struct{}{}:
+	default:
+	}
 }
 
 // run keeps a stream open until ctx ends.
@@ -74,7 +92,7 @@
 	if err != nil {
 		return false, err
 	}
-	dead := time.AfterFunc(silence, cancel)
+	dead := time.AfterFunc(firstSilence, cancel)
 	defer dead.Stop()
 	var sending sync.WaitGroup
 	sending.Go(func() { a.send(ctx, stream) })
@@ -86,7 +104,7 @@
 		if err != nil {
 			return heard, err
 		}
-		dead.Reset(silence)
+		dead.Reset(r.Lifetime)
 		if !heard {
 			heard = true
 			a.placer.log.WithField("endpoint", a.endpoint.ID()).WithField("start", r.Start).Info("keeper answers")
@@ -97,23 +115,26 @@
 
 // send sends notes until the stream ends.
 func (a *attendance) send(ctx context.Context, stream knapweedpulley.KeeperStream) {
-	var sent *knapweedpulley.EngineSpec
-	ticker := time.NewTicker(notePeriod)
-	defer ticker.Stop()
+	var spec *knapweedpulley.EngineSpec
+	var last knapweedpulley.GatewayNote
+	var sent knapweedpulley.Instant
 	for {
 		n := a.note()
-		if spec := a.placer.engine(a.endpoint.Entry().Service); spec != nil && spec != sent {
-			n.Engine = knapweedpulley.Some(*spec)
-			sent = spec
+		if now := a.placer.engine(a.endpoint.Entry().Service); now != nil && now != spec {
+			n.Engine = knapweedpulley.Some(*now)
+			spec, sent = now, 0
 		}
-		if err := stream.Send(n); err != nil {
-			// The receiving side sees the end of the stream and tells of it.
-			return
+		if now := a.placer.clock.Now(); now.Sub(sent) >= repeatPeriod || changed(n.Demands, last.Demands) {
+			if err := stream.Send(n); err != nil {
+				// The receiving side sees the end of the stream and tells of it.
+				return
+			}
+			last, sent = n, now
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-a.turns:
 		case w := <-a.wakes:
 			if err := stream.Send(knapweedpulley.GatewayNote{
 				Gateway: a.placer.self, Endpoint: a.endpoint.ID(), Wakes: []knapweedpulley.ResidentWake{w},
@@ -124,6 +145,15 @@
 	}
 }
 
+// changed reports whether a keeper would decide otherwise by the new demands.
+func changed(demands, last []knapweedpulley.ModelDemand) bool {
+	return !slices.EqualFunc(demands, last, func(d, l knapweedpulley.ModelDemand) bool {
+		more, less := max(d.Rate, l.Rate), min(d.Rate, l.Rate)
+		return d.Resident == l.Resident && d.Spare == l.Spare && (d.Active > 0) == (l.Active > 0) &&
+			(more < leastRate || more < rateChange*less)
+	})
+}
+
 // note tells how the models of the engine are used.
 func (a *attendance) note() knapweedpulley.GatewayNote {
 	n := knapweedpulley.GatewayNote{Gateway: a.placer.self, Endpoint: a.endpoint.ID(), Demanded: true}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -109,8 +109,8 @@
 	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w := &world{t: t, fleet: fleet.New(fake.Clock{}, "home"), keepers: map[knapweedpulley.EndpointID]*keeper{
-				"a": {report: knapweedpulley.EngineReport{Start: 1, Free: 100}},
-				"b": {report: knapweedpulley.EngineReport{Start: 1, Free: 100}},
+				"a": {report: knapweedpulley.EngineReport{Lifetime: 1500 * time.Millisecond, Start: 1, Free: 100}},
+				"b": {report: knapweedpulley.EngineReport{Lifetime: 1500 * time.Millisecond, Start: 1, Free: 100}},
 			}}
 			demand, closeDemand := placement.NewDemand()
 			defer closeDemand()
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +54,7 @@
 	self        knapweedpulley.Member
 	remoteLoads int
 	gateways    atomic.Int64
-	services    atomic.Pointer[map[knapweedpulley.ServiceID]knapweedpulley.Service]
+	engines     atomic.Pointer[map[knapweedpulley.ServiceID]*knapweedpulley.EngineSpec]
 
 	mu    sync.Mutex
 	wakes map[target]*wake
@@ -80,7 +81,20 @@
 
 // Configure takes over the services in force.
 func (p *Placer) Configure(services map[knapweedpulley.ServiceID]knapweedpulley.Service) {
-	p.services.Store(&services)
+	engines := make(map[knapweedpulley.ServiceID]*knapweedpulley.EngineSpec)
+	last := p.engines.Load()
+	for id, s := range services {
+		spec, has := s.Engine.Get()
+		if !has {
+			continue
+		}
+		engines[id] = &spec
+		if last != nil && (*last)[id] != nil && reflect.DeepEqual(spec, *(*last)[id]) {
+			// Keepers are told again only of what has changed.
+			engines[id] = (*last)[id]
+		}
+	}
+	p.engines.Store(&engines)
 }
 
 // Divide sets among how many gateways the callers are divided.
@@ -90,14 +104,11 @@
 
 // engine returns the engine of a service, or nil.
 func (p *Placer) engine(id knapweedpulley.ServiceID) *knapweedpulley.EngineSpec {
-	services := p.services.Load()
-	if services == nil {
+	engines := p.engines.Load()
+	if engines == nil {
 		return nil
 	}
-	if spec, has := (*services)[id].Engine.Get(); has {
-		return &spec
-	}
-	return nil
+	return (*engines)[id]
 }
 
 // attendAll keeps a stream to the keeper of each engine.
@@ -128,6 +139,9 @@
 			delete(p.kept, id)
 		}
 	}
+	for _, a := range p.kept {
+		a.turn()
+	}
 	for id, e := range endpoints {
 		if p.kept[id] != nil || p.engine(e.Entry().Service) == nil {
 			continue
@@ -135,7 +149,7 @@
 		attended, cancel := context.WithCancel(ctx)
 		a := &attendance{
 			placer: p, endpoint: e, cancel: cancel,
-			wakes: make(chan knapweedpulley.ResidentWake, maxWakes),
+			wakes: make(chan knapweedpulley.ResidentWake, maxWakes), turns: make(chan struct{}, 1),
 		}
 		p.kept[id] = a
 		running.Go(func() { a.run(attended) })
--- a/residency.go
+++ b/residency.go
@@ -36,6 +36,9 @@
 	Spare     Bytes
 	// Gateways lists the gateways that attend the keeper, ordered by id.
 	Gateways []Member
+	// Lifetime is the age up to which the report holds: the next ones are due
+	// well before.
+	Lifetime time.Duration
 }
 
 // Holds reports whether a model, and an adapter if one is named, is ready.
