--- /dev/null
+++ b/faults/soak/store.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/store/fake"
+)
+
+// Store is a stand-in of the platform's store. Its content is written by the
+// soak directly and read by the processes over HTTP.
+type Store struct {
+	objects *fake.Store
+	// failing makes all calls over HTTP fail.
+	failing atomic.Bool
+
+	mu        sync.Mutex
+	revisions map[string]knapweedpulley.Revision
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{objects: fake.New(), revisions: make(map[string]knapweedpulley.Revision)}
+}
+
+// Put writes an object whatever its revision.
+func (s *Store) Put(kind knapweedpulley.Kind, name string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode an object")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := string(kind) + "/" + name
+	r, err := s.objects.Put(context.Background(), kind, name, data, s.revisions[key])
+	if err != nil {
+		return err
+	}
+	s.revisions[key] = r
+	return nil
+}
+
+// Delete removes an object if it exists.
+func (s *Store) Delete(kind knapweedpulley.Kind, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := string(kind) + "/" + name
+	if s.revisions[key] == 0 {
+		return nil
+	}
+	_, err := s.objects.Delete(context.Background(), kind, name, s.revisions[key])
+	delete(s.revisions, key)
+	return err
+}
+
+// item is an object as the platform spells it.
+type item struct {
+	Metadata itemName        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// itemName names an object.
+type itemName struct {
+	Name     string                  `json:"name"`
+	Revision knapweedpulley.Revision `json:"revision"`
+}
+
+func newItem(o knapweedpulley.Object) item {
+	return item{Metadata: itemName{Name: o.Name, Revision: o.Revision}, Spec: o.Value}
+}
+
+// ServeHTTP implements http.Handler: lists and watches.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.failing.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	kind := knapweedpulley.KindEndpoints
+	if strings.HasSuffix(r.URL.Path, "/config") {
+		kind = knapweedpulley.KindInstallation
+	}
+	if after := r.URL.Query().Get("watch"); after != "" {
+		s.watch(w, r, kind, after)
+		return
+	}
+	l, err := s.objects.List(r.Context(), kind)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	items := make([]item, 0, len(l.Objects))
+	for _, o := range l.Objects {
+		items = append(items, newItem(o))
+	}
+	reply(w, map[string]any{"items": items, "hasMore": false, "currentRev": l.Revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind knapweedpulley.Kind, after string) {
+	revision, err := strconv.ParseUint(after, 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("waitMs") + "ms")
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	changes, next, err := s.objects.Watch(r.Context(), kind, knapweedpulley.Revision(revision), wait)
+	if errors.Is(err, knapweedpulley.ErrCompacted) {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	type event struct {
+		Object  item `json:"object"`
+		Deleted bool `json:"deleted"`
+	}
+	events := make([]event, 0, len(changes))
+	for _, c := range changes {
+		events = append(events, event{Object: newItem(c.Object), Deleted: c.Deleted})
+	}
+	reply(w, map[string]any{"events": events, "currentRev": next})
+}
+
+// reply answers with JSON. An error means that the other side went away.
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	data, err := json.Marshal(v)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(w, string(data))
+}
--- a/installation/collection.go
+++ b/installation/collection.go
@@ -16,7 +16,7 @@
 	// watchWait is how long one watch waits. A connection that went silent is
 	// noticed that much later, which must fit the 2 s in which a configuration
 	// comes into force, beside the 3 s that follow such a fault.
-	watchWait = 2500 * time.Millisecond
+	watchWait = 2 * time.Second
 	// changePause is the time between two watches of a collection that changes
 	// all the time, as endpoints report themselves each second or so: each call
 	// is paid for. What leaves must get no work after two seconds.
