Answer an empty stream as a failure, and refuse what callers won't wait for

Change: a stream without an event is a failure unless the caller has events already; requests that can't be served before their callers lose patience are refused at once with the time that the load takes; explain tells from logs what became of requests.

--- a/cmd/knapweedpulley/command/command.go
+++ b/cmd/knapweedpulley/command/command.go
@@ -14,6 +14,8 @@
 //	knapweedpulley status
 //	knapweedpulley drain endpoint-1
 //	knapweedpulley burn --format html
+//	knapweedpulley explain gateways.log
+//	knapweedpulley explain gateways.log --request 9c41d07be2a35f68
 //
 // The settings, by default operator.json, name the admin addresses of the
 // entries and the operator's key; see [Settings].
--- a/cmd/knapweedpulley/command/options.go
+++ b/cmd/knapweedpulley/command/options.go
@@ -17,15 +17,15 @@
 
 	apply, parameters, rollback, history, customers *flaggy.Subcommand
 	key, issue, withdraw                            *flaggy.Subcommand
-	status, drain, burn                             *flaggy.Subcommand
+	status, drain, burn, explain                    *flaggy.Subcommand
 
 	// The positional values of the subcommands.
-	file, customer, keyID, version, endpoint string
+	file, customer, keyID, version, endpoint, log string
 	// The flags of the subcommands.
-	values, format string
-	sets           []string
-	expected       string
-	dryRun, check  bool
+	values, format, request string
+	sets                    []string
+	expected                string
+	dryRun, check           bool
 }
 
 // newOptions declares the command line.
@@ -63,6 +63,9 @@
 	o.drain.AddPositionalValue(&o.endpoint, "endpoint", 1, true, "the id of the endpoint")
 	o.burn = o.subcommand("burn", "print the report on service-level burn")
 	o.burn.String(&o.format, "f", "format", "text, json or html")
+	o.explain = o.subcommand("explain", "tell from logs what became of requests, and why")
+	o.explain.AddPositionalValue(&o.log, "log", 1, true, "path of the logs of all gateways and keepers, in one file")
+	o.explain.String(&o.request, "r", "request", "the id of one request")
 	return o
 }
 
@@ -114,6 +117,8 @@
 		return o.runDrain(ctx, out)
 	case o.burn.Used:
 		return o.runBurn(ctx, out)
+	case o.explain.Used:
+		return o.runExplain(out)
 	default:
 		return ExitUsage, usage("name a subcommand, or --help")
 	}
--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -148,7 +148,7 @@
 	}
 	request := &http.Request{Method: m.Method}
 	for range maxForeign {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // Release ends the answer.
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
@@ -327,7 +327,7 @@
 	}
 	framed := a.ContentLength >= 0 || chunked(a.Response)
 	if intact := a.stop(); !intact || !sent || !a.ended || !framed || a.Close || a.conn.reader.Buffered() > 0 {
-		_ = a.conn.Conn.Close()
+		_ = a.conn.Close()
 		return
 	}
 	a.pool.keep(a.conn, keepTimeout(a.Header))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,8 @@
 		"waitedMs": p.waited.Milliseconds(),
 		"firstMs":  p.first.Milliseconds(),
 		"pauseMs":  p.pause.Milliseconds(),
+		"aimMs":    p.admission.Route.Target.Milliseconds(),
+		"gapAimMs": p.admission.Route.Pause.Milliseconds(),
 		"load":     p.load,
 		"prompt":   p.call.Prompt,
 		"tookMs":   p.Clock.Now().Sub(p.call.Arrived).Milliseconds(),
--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -21,6 +21,9 @@
 	// refusalPause is the time after which endpoints that refused a call are
 	// tried again.
 	refusalPause = 50 * time.Millisecond
+	// firstEvent is kept for the first event after a model was loaded, before
+	// the caller leaves.
+	firstEvent = 200 * time.Millisecond
 	// lastSend is the least time that must be left for a send.
 	lastSend = 20 * time.Millisecond
 	// sharedPromptLeast is the number of shared tokens from which on it pays to
@@ -238,12 +241,16 @@
 }
 
 func (p *passage) wish() placement.Wish {
+	until := min(p.deadline.Add(-lastSend), knapweedpulley.Instant(p.end.Load()))
+	if patience := p.admission.Route.Patience; patience > 0 {
+		until = min(until, p.call.Arrived.Add(patience-firstEvent))
+	}
 	return placement.Wish{
 		Service:  p.admission.Service.ID,
 		Weights:  p.call.Weights(),
 		Priority: p.admission.Priority,
 		Aim:      p.call.Arrived.Add(p.admission.Route.Target),
-		Until:    min(p.deadline.Add(-lastSend), knapweedpulley.Instant(p.end.Load())),
+		Until:    until,
 	}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -204,7 +204,7 @@
 	for {
 		event, err := reply.Event()
 		if errors.Is(err, io.EOF) {
-			return false, nil
+			return p.endStream(reply)
 		}
 		if err != nil {
 			return resumable && ctx.Err() == nil, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed,
@@ -218,6 +218,22 @@
 	}
 }
 
+// endStream ends a stream as whole. One without any event is only whole for a
+// caller that has events already.
+func (p *passage) endStream(reply knapweedpulley.Reply) (bool, error) {
+	switch {
+	case p.begun:
+		return false, nil
+	case p.call.LastEvent == "":
+		return p.admission.Route.Repeat == knapweedpulley.Resumable, knapweedpulley.NewRefusal(
+			knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun, "the stream of %s has no event", p.endpoint)
+	default:
+		p.begun = true
+		p.status = reply.Head().Status
+		return false, p.writer.WriteHead(reply.Head())
+	}
+}
+
 // errStalled says that a stream fell silent.
 var errStalled = errors.New("the stream fell silent")
 
--- a/installation.go
+++ b/installation.go
@@ -51,6 +51,9 @@
 	Target time.Duration
 	// Pause is the objective for the time between two events.
 	Pause time.Duration
+	// Patience is how long callers wait for the first event, or for the next;
+	// zero if they wait for the whole answer until their time is over.
+	Patience time.Duration
 	// Priority ranks requests; zero is the most urgent.
 	Priority    int
 	MaxAttempts int
--- a/link/keepers_test.go
+++ b/link/keepers_test.go
@@ -27,7 +27,7 @@
 	for {
 		n, err := s.Receive()
 		if err != nil {
-			return nil
+			return err
 		}
 		k.notes <- n
 	}
--- /dev/null
+++ b/logbook/trace/trace_test.go
@@ -0,0 +1,70 @@
+package trace_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpulley/knapweedpulley/logbook/trace"
+)
+
+const log = `  1.25 front-1 {"fields":{"id":"front-1","role":"gateway","model":"m","endpoint":"i-1","expected":"1s"},"level":"info","timestamp":"2026-08-05T16:40:08.5Z","message":"load asked for"}
+not a line of a log
+{"fields":{"id":"front-1","role":"gateway","request":"r1","route":"chat","model":"m","endpoint":"i-1","waitedMs":1100,"firstMs":1200,"aimMs":600,"gapAimMs":300,"tookMs":2000,"status":200},"level":"info","timestamp":"2026-08-05T16:40:10Z","message":"request answered"}
+{"fields":{"id":"front-1","role":"gateway","request":"r2","route":"chat","code":"rateExceeded","aimMs":600},"level":"info","timestamp":"2026-08-05T16:40:10Z","message":"request refused"}
+{"fields":{"id":"front-1","role":"gateway","request":"r3","route":"orders","firstMs":20,"aimMs":150,"tookMs":21,"status":200},"level":"info","timestamp":"2026-08-05T16:40:10Z","message":"request answered"}
+{"fields":{"id":"front-1","role":"gateway","request":"r4","route":"chat","model":"m","firstMs":20,"pauseMs":900,"aimMs":600,"gapAimMs":300,"status":200},"level":"info","timestamp":"2026-08-05T16:40:10Z","message":"request answered"}
+{"fields":{"id":"side-9","role":"keeper","model":"other"},"level":"info","timestamp":"2026-08-05T16:40:09Z","message":"order given"}
+`
+
+func read(t *testing.T) []trace.Line {
+	t.Helper()
+	is := is.New(t)
+	lines, skipped, err := trace.Read(strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(skipped, 1)
+	is.Equal(len(lines), 6)
+	return lines
+}
+
+func assertHas(t *testing.T, text, part string, want bool) {
+	t.Helper()
+	is.New(t).Equal(strings.Contains(text, part), want)
+}
+
+func TestTable(t *testing.T) {
+	var b bytes.Buffer
+	is.New(t).NoErr(trace.WriteTable(&b, read(t)))
+	for _, want := range []string{
+		"cause                 chat  orders", "in time               0     1", "over its rate         1     0",
+		"waited for its model  1     0", "long pause            1     0",
+	} {
+		assertHas(t, b.String(), want, true)
+	}
+}
+
+func TestRequest(t *testing.T) {
+	t.Run("a request is told with what explains it", func(t *testing.T) {
+		var b bytes.Buffer
+		is.New(t).NoErr(trace.WriteRequest(&b, read(t), "r1"))
+		assertHas(t, b.String(), "r1: waited for its model", true)
+		assertHas(t, b.String(), "load asked for", true)
+		assertHas(t, b.String(), "order given", false)
+		assertHas(t, b.String(), `"request":"r2"`, false)
+	})
+	t.Run("one that the logs don't know is an error", func(t *testing.T) {
+		is.New(t).True(trace.WriteRequest(&bytes.Buffer{}, read(t), "r9") != nil)
+	})
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(log)
+	f.Fuzz(func(_ *testing.T, text string) {
+		lines, _, err := trace.Read(strings.NewReader(text))
+		if err == nil {
+			_ = trace.WriteTable(&bytes.Buffer{}, lines)
+		}
+	})
+}
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -23,6 +23,12 @@
 	// wishRepeat when it is repeated: nobody may wait for it any more.
 	wishLifetime = 1500 * time.Millisecond
 	wishRepeat   = 600 * time.Millisecond
+	// hopeless is how long a request waits while no endpoint can load what it
+	// needs: less than an eighth of the slower objectives.
+	hopeless = 300 * time.Millisecond
+	// returnTime is kept for a caller that comes back after the time it was
+	// told.
+	returnTime = 500 * time.Millisecond
 	// latePriority ranks a wish whose request has missed its objective behind
 	// all that can still meet theirs.
 	latePriority = 10
@@ -53,6 +59,9 @@
 type wake struct {
 	endpoint *fleet.Endpoint
 	sent     knapweedpulley.Instant
+	// kept is when the keeper was last asked to go on for callers that will
+	// come back.
+	kept knapweedpulley.Instant
 	// remote says that the weights come from the weight store.
 	remote bool
 }
@@ -74,6 +83,7 @@
 	t := target{service: w.Service, weights: w.Weights}
 	timer := time.NewTimer(recheck)
 	defer timer.Stop()
+	began := p.clock.Now()
 	for {
 		changed := p.fleet.Changed()
 		if len(p.fleet.Holders(w.Service, w.Weights)) > 0 {
@@ -84,10 +94,16 @@
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeDeadlineExceeded, knapweedpulley.NotRun,
 				"%s was not loaded in time", w.Weights.Model)
 		}
-		if eta, possible := p.wake(t, w); possible && eta > left {
+		eta, possible := p.wake(t, w)
+		if possible && eta > left {
+			p.keep(t, w, eta)
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
 				"%s takes %s to load", w.Weights.Model, eta).WithRetryAfter(eta)
 		}
+		if !possible && p.clock.Now().Sub(began) > hopeless {
+			return knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
+				"no endpoint can load %s at present", w.Weights.Model).WithRetryAfter(crowdedTime)
+		}
 		timer.Reset(recheck)
 		select {
 		case <-ctx.Done():
@@ -149,15 +165,32 @@
 	return eta, true
 }
 
+// keep has a keeper go on with a load until a caller that was refused is back.
+func (p *Placer) keep(t target, w Wish, eta time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k, asked := p.wakes[t]; asked && p.clock.Now().Sub(k.kept) > wishRepeat {
+		w.Until = p.clock.Now().Add(eta + returnTime)
+		if p.askFor(k, t, w, eta+returnTime) {
+			k.kept = k.sent
+		}
+	}
+}
+
 // ask sends a wish to the keeper that was chosen for it.
 func (p *Placer) ask(k *wake, t target, w Wish) bool {
+	return p.askFor(k, t, w, wishLifetime)
+}
+
+// askFor sends a wish that is kept for a lifetime at most.
+func (p *Placer) askFor(k *wake, t target, w Wish, lifetime time.Duration) bool {
 	a := p.kept[k.endpoint.ID()]
 	if a == nil {
 		return false
 	}
 	now := p.clock.Now()
 	r := knapweedpulley.ResidentWake{
-		Resident: t.weights, Priority: w.Priority, Expires: min(wishLifetime, w.Until.Sub(now)),
+		Resident: t.weights, Priority: w.Priority, Expires: min(lifetime, w.Until.Sub(now)),
 	}
 	if now.After(w.Aim) {
 		r.Priority += latePriority
