Leave out endpoints that refuse connections

Change: an endpoint whose connections are refused holds nothing until its keeper tells of it, for 3 s at most; the last one of a service stays.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -138,7 +138,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
 		Rates:   gateway.NewRates(p.allowances, link.NewAllowanceBorrower(connections), p.peers, clock, p.log),
-		Crashes: gateway.NewCrashes(suspects, exchanger, p.log),
+		Crashes: gateway.NewCrashes(suspects, exchanger, p.fleet, p.log),
 		Budget:  p.budget, Exchanger: exchanger, Clock: clock, Log: p.log,
 		Meter: gateway.NewMeter(scope),
 	})
--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -116,7 +116,11 @@
 func (p *Pool) Send(ctx context.Context, m Message) (*Answer, error) {
 	c, err := p.connect(ctx, m)
 	if err != nil {
-		return nil, Refuse(ctx, err, knapweedpulley.NotRun)
+		r := Refuse(ctx, err, knapweedpulley.NotRun)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.Code = knapweedpulley.CodeUnreachable
+		}
+		return nil, r
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, err := p.exchange(c, m)
--- a/engine/exchange/pool_test.go
+++ b/engine/exchange/pool_test.go
@@ -171,6 +171,8 @@
 		p := newPool(t)
 		assertVerdict(t, p, message(b, "a"), knapweedpulley.NotRun)
 		is.New(t).True(p.Refused(t.Context(), b.address))
+		_, err = get(p, message(b, "a"))
+		is.New(t).Equal(knapweedpulley.RefusalOf(err, "").Code, knapweedpulley.CodeUnreachable)
 	})
 	t.Run("a connection that the endpoint closed meanwhile isn't used", func(t *testing.T) {
 		b := newBackend(t, func(conn *net.TCPConn, r *http.Request) bool {
--- a/faults/soak/faults.go
+++ b/faults/soak/faults.go
@@ -128,7 +128,7 @@
 }
 
 func (i *Injector) processFault(what string, p *Process) {
-	d := i.upTo(4*time.Second)
+	d := i.upTo(4 * time.Second)
 	switch i.random.IntN(3) {
 	case 0:
 		i.inject(what+" paused", p, func() error {
@@ -161,7 +161,7 @@
 
 func (i *Injector) endpointCrash() {
 	s := i.world.servers[i.random.IntN(len(i.world.servers))]
-	d := i.upTo(2500*time.Millisecond)
+	d := i.upTo(2500 * time.Millisecond)
 	i.inject("endpoint crashed", s, func() error {
 		if err := s.Crash(); err != nil {
 			return err
@@ -196,7 +196,7 @@
 }
 
 func (i *Injector) storeFault() {
-	d := i.upTo(2500*time.Millisecond)
+	d := i.upTo(2500 * time.Millisecond)
 	i.inject("store fails", i.world.store, func() error {
 		i.world.FailStore(true)
 		time.Sleep(d)
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -13,6 +13,9 @@
 	// after a broken connection; the time doubles with each one in a row.
 	firstAvoid = 200 * time.Millisecond
 	lastAvoid  = 3 * time.Second
+	// lostTime is how long an endpoint that refuses connections is left out
+	// unless it is heard of: crashed ones are back after some seconds.
+	lostTime = 3 * time.Second
 	// failureWeight is the weight of the last request in the share of failed
 	// ones: about the last ten count.
 	failureWeight = 0.1
@@ -48,6 +51,8 @@
 	// broken counts broken connections in a row.
 	broken     atomic.Int32
 	avoidUntil atomic.Int64
+	// lostUntil is set while the endpoint refuses connections.
+	lostUntil atomic.Int64
 }
 
 func newEndpoint(id knapweedpulley.EndpointID, clock knapweedpulley.Clock) *Endpoint {
@@ -113,6 +118,12 @@
 	return knapweedpulley.Instant(e.avoidUntil.Load()).After(e.clock.Now())
 }
 
+// lost reports whether the endpoint refused connections and wasn't heard of
+// since.
+func (e *Endpoint) lost() bool {
+	return knapweedpulley.Instant(e.lostUntil.Load()).After(e.clock.Now())
+}
+
 // Failing returns the share of the last requests that failed.
 func (e *Endpoint) Failing() float64 {
 	return math.Float64frombits(e.failed.Load())
@@ -124,6 +135,7 @@
 }
 
 func (e *Endpoint) hear(r knapweedpulley.EngineReport) {
+	e.lostUntil.Store(0)
 	e.heard.Store(&heard{EngineReport: r, at: e.clock.Now(), active: e.active.Load()})
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
 )
@@ -71,14 +72,36 @@
 func (f *Fleet) Hear(e *Endpoint, r knapweedpulley.EngineReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := e.Models()
+	before, lost := e.Models(), e.lost()
 	e.hear(r)
-	if !sameModels(before, e.Models()) {
+	if lost || !sameModels(before, e.Models()) {
 		last := f.index.Load()
 		f.replace(last, last.byID)
 	}
 }
 
+// Lose leaves out an endpoint that refuses connections, until its keeper tells
+// of it or some time has passed. The last endpoint of a service stays.
+func (f *Fleet) Lose(e *Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.index.Load()
+	if e.lost() || len(last.services[e.Entry().Service]) < 2 {
+		return
+	}
+	e.lostUntil.Store(int64(f.clock.Now().Add(lostTime)))
+	f.replace(last, last.byID)
+	time.AfterFunc(lostTime+time.Millisecond, f.refresh)
+}
+
+// refresh makes the index anew.
+func (f *Fleet) refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.index.Load()
+	f.replace(last, last.byID)
+}
+
 func (f *Fleet) replace(last *index, byID map[knapweedpulley.EndpointID]*Endpoint) {
 	f.index.Store(build(byID))
 	close(last.changed)
@@ -130,7 +153,7 @@
 	ordered := slices.SortedFunc(maps.Values(byID), func(a, b *Endpoint) int { return cmp.Compare(a.id, b.id) })
 	for _, e := range ordered {
 		entry := e.Entry()
-		if entry.Draining {
+		if entry.Draining || e.lost() {
 			continue
 		}
 		x.services[entry.Service] = append(x.services[entry.Service], e)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -101,6 +101,27 @@
 	})
 }
 
+func TestLose(t *testing.T) {
+	inBubble("one that refuses connections holds nothing until it is heard of", t, func(t *testing.T, f *fleet.Fleet) {
+		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home", "m"), entry("b", "away", "n")})
+		f.Lose(f.Endpoints()["a"])
+		assertChoice(t, f, need("m"), "")
+		f.Hear(f.Endpoints()["a"], knapweedpulley.EngineReport{Lifetime: lifetime, Start: 1, Models: loaded("m")})
+		assertChoice(t, f, need("m"), "a")
+	})
+	inBubble("nor for long", t, func(t *testing.T, f *fleet.Fleet) {
+		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home", "m"), entry("b", "away", "n")})
+		f.Lose(f.Endpoints()["a"])
+		time.Sleep(4 * time.Second)
+		assertChoice(t, f, need("m"), "a")
+	})
+	inBubble("the last one of a service is never left out", t, func(t *testing.T, f *fleet.Fleet) {
+		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home", "m")})
+		f.Lose(f.Endpoints()["a"])
+		assertChoice(t, f, need("m"), "a")
+	})
+}
+
 func TestReports(t *testing.T) {
 	inBubble("a fresh report goes before the entry", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{entry("a", "home", "m")})
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -30,6 +30,7 @@
 type Crashes struct {
 	list      knapweedpulley.SuspectList
 	exchanger knapweedpulley.Exchanger
+	fleet     *fleet.Fleet
 	log       log.Interface
 
 	mu       sync.Mutex
@@ -38,10 +39,10 @@
 
 // NewCrashes returns a finder that reports to a list.
 func NewCrashes(
-	list knapweedpulley.SuspectList, exchanger knapweedpulley.Exchanger, log log.Interface,
+	list knapweedpulley.SuspectList, exchanger knapweedpulley.Exchanger, fleet *fleet.Fleet, log log.Interface,
 ) *Crashes {
 	return &Crashes{
-		list: list, exchanger: exchanger, log: log,
+		list: list, exchanger: exchanger, fleet: fleet, log: log,
 		suspects: make(map[crash][]knapweedpulley.Fingerprint),
 	}
 }
@@ -60,6 +61,7 @@
 	if !c.exchanger.Ended(ctx, entry.Address) {
 		return
 	}
+	c.fleet.Lose(e)
 	id := crash{endpoint: e.ID(), start: entry.Start}
 	suspects := c.collect(id, f)
 	c.log.WithField("endpoint", id.endpoint).WithField("start", id.start).WithField("content", f).
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -45,7 +45,7 @@
 		p[self.Entry] = endpoint.NewSuspects(peers, p)
 	}
 	probe := &prober{ended: true}
-	return p, probe, gateway.NewCrashes(p["one"], probe, logbook.New(io.Discard, log.InfoLevel, "test", "test"))
+	return p, probe, gateway.NewCrashes(p["one"], probe, fleet.New(fake.Clock{}, "a"), logbook.New(io.Discard, log.InfoLevel, "test", "test"))
 }
 
 func endpoints(ids ...knapweedpulley.EndpointID) *fleet.Fleet {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -101,6 +101,9 @@
 		return fleet.Unjudged
 	}
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
+		if knapweedpulley.RefusalOf(err, "").Code == knapweedpulley.CodeUnreachable {
+			p.Fleet.Lose(e)
+		}
 		return fleet.Broken
 	}
 	p.Crashes.Broken(e, p.call.Fingerprint)
--- a/verdict.go
+++ b/verdict.go
@@ -51,6 +51,7 @@
 	CodeOutOfMemory         Code = "outOfMemory"
 	CodeFenced              Code = "fenced"
 	CodeStale               Code = "stale"
+	CodeUnreachable         Code = "unreachable"
 	CodeLinkLost            Code = "linkLost"
 	CodeEngineFailed        Code = "engineFailed"
 	CodeCrashSuspect        Code = "crashSuspect"
