--- a/gateway/passage.go
+++ b/gateway/passage.go
@@ -39,7 +39,6 @@
 	admission installation.Admission
 	deadline  knapweedpulley.Instant
 	avoid     knapweedpulley.Set[knapweedpulley.EndpointID]
-	suspect   knapweedpulley.SuspectState
 	// runs counts sends after which the call may have run, refused those that
 	// an endpoint refused.
 	runs    int
@@ -70,8 +69,7 @@
 	r := &p.admission.Route
 	p.deadline = p.call.Arrived.Add(min(p.call.Timeout, r.Timeout))
 	p.lastEvent = p.call.LastEvent
-	p.suspect = p.Crashes.State(p.call.Fingerprint)
-	if p.suspect == knapweedpulley.SuspectRefuse {
+	if p.Crashes.State(p.call.Fingerprint) == knapweedpulley.SuspectRefuse {
 		return knapweedpulley.NewRefusal(knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun,
 			"the endpoints that ran the request crashed")
 	}
@@ -149,12 +147,12 @@
 	return p.Budget.Spend(p.admission.Service.ID)
 }
 
-// mayRunAgain reports whether the call may run once more. One whose content ran
-// at a crash may crash the next endpoint too.
+// mayRunAgain reports whether the call may run once more. Most calls that ran at
+// a crash are not its cause, so that one more run is worth the risk.
 func (p *passage) mayRunAgain() bool {
 	r := &p.admission.Route
 	return r.Repeat != knapweedpulley.AtMostOnce && p.runs < r.MaxAttempts &&
-		p.Crashes.State(p.call.Fingerprint) == knapweedpulley.SuspectNone
+		p.Crashes.State(p.call.Fingerprint) != knapweedpulley.SuspectRefuse
 }
 
 // readmit checks the call again after it has waited: its key may have been
