Keep one copy of comparisons, periods and clean-ups

Cause: three copies of a comparison of models, two of a tier, of the bound of the memory and of the order of clean-ups.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -5,8 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,19 +51,13 @@
 	sweepPeriod = 2 * time.Second
 	// dividePeriod is the time between two counts of the gateways.
 	dividePeriod = 500 * time.Millisecond
-	// memoryPart is the part of the machine's memory that the collector aims
-	// to stay below; gcPercent saves processor time, which costs more.
-	memoryPart = 0.6
-	gcPercent  = 300
-	// bytesPerMB is the platform's unit of memory.
-	bytesPerMB = 1_000_000
 )
 
 // process is a running gateway.
 type process struct {
 	settings   Settings
 	log        log.Interface
-	cleanups   []knapweedpulley.Cleanup
+	cleanups   program.Cleanups
 	follower   *installation.Follower
 	fleet      *fleet.Fleet
 	placer     *placement.Placer
@@ -83,18 +75,17 @@
 }
 
 func start(s Settings) (program.Process, error) {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB*bytesPerMB)))
+	machine.LimitMemory(s.MemoryMB)
 	lines, flush := logbook.NewQueue(os.Stdout)
 	p := &process{
 		settings: s,
 		log:      logbook.New(lines, logbook.Level(s.LogLevel), "gateway", s.ID),
 		served:   make(chan struct{}),
 	}
-	p.cleanups = append(p.cleanups, flush)
+	p.cleanups.Add(flush)
 	if err := p.build(); err != nil {
 		p.log.WithError(err).Error("gateway can't start")
-		p.clean()
+		p.cleanups.Run()
 		return program.Process{}, err
 	}
 	p.log.WithField("zone", s.Zone).WithField("callers", s.Callers).Info("gateway started")
@@ -107,13 +98,13 @@
 	if err != nil {
 		return err
 	}
-	p.cleanups = append(p.cleanups, closeStore)
+	p.cleanups.Add(closeStore)
 	scope, metrics, closeMetrics := metric.New("gateway", p.settings.ID)
-	p.cleanups = append(p.cleanups, closeMetrics)
+	p.cleanups.Add(closeMetrics)
 	pool, closePool := exchange.NewPool()
 	connections, closeConnections := link.NewConnections(nil)
 	demand, closeDemand := placement.NewDemand()
-	p.cleanups = append(p.cleanups, closePool, closeConnections, closeDemand)
+	p.cleanups.Add(closePool, closeConnections, closeDemand)
 	p.fleet = fleet.New(clock, p.settings.Zone)
 	p.allowances = contract.NewAllowances(clock, p.settings.Gateways)
 	self := knapweedpulley.Member{
@@ -128,11 +119,11 @@
 		Port: p.settings.KeeperPort, RemoteLoads: p.settings.RemoteLoads, Gateways: p.settings.Gateways, Self: self,
 	})
 	p.placer = placer
-	p.cleanups = append(p.cleanups, closePlacer)
+	p.cleanups.Add(closePlacer)
 	follower, closeFollower := installation.NewFollower(
 		objects, platform.Translator{}, clock, p.log, p.configure, p.fleet.Update)
 	p.follower = follower
-	p.cleanups = append(p.cleanups, closeFollower)
+	p.cleanups.Add(closeFollower)
 	exchanger := platform.NewExchanger(pool)
 	p.clock = clock
 	p.gateway = gateway.New(gateway.Options{
@@ -150,8 +141,8 @@
 	if err != nil {
 		return err
 	}
-	p.cleanups = append(p.cleanups, closeLinks)
-	p.cleanups = append(p.cleanups, p.tick(sweepPeriod, pool.Sweep), p.tick(dividePeriod, p.divide))
+	p.cleanups.Add(closeLinks)
+	p.cleanups.Add(machine.Every(sweepPeriod, pool.Sweep), machine.Every(dividePeriod, p.divide))
 	if err := p.serveOperators(metrics); err != nil {
 		return err
 	}
@@ -181,21 +172,6 @@
 	p.placer.Divide(n)
 }
 
-// tick calls f again and again until the clean-up is called.
-func (p *process) tick(period time.Duration, f func()) knapweedpulley.Cleanup {
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() {
-		for machine.Pause(ctx, period) == nil {
-			f()
-		}
-	})
-	return func() {
-		cancel()
-		running.Wait()
-	}
-}
-
 // serveOperators answers the platform's balancer and the readers of metrics.
 func (p *process) serveOperators(metrics http.Handler) error {
 	closeReady, err := web.Serve(p.settings.Ready, nil, []rest.Route{
@@ -204,14 +180,14 @@
 	if err != nil {
 		return err
 	}
-	p.cleanups = append(p.cleanups, closeReady)
+	p.cleanups.Add(closeReady)
 	closeMetrics, err := web.Serve(p.settings.Metrics, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	})
 	if err != nil {
 		return err
 	}
-	p.cleanups = append(p.cleanups, closeMetrics)
+	p.cleanups.Add(closeMetrics)
 	return nil
 }
 
@@ -230,7 +206,7 @@
 	}
 	ctx, abandon := context.WithCancel(context.Background())
 	p.abandon = abandon
-	p.cleanups = append(p.cleanups, knapweedpulley.Cleanup(abandon))
+	p.cleanups.Add(knapweedpulley.Cleanup(abandon))
 	p.server = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		Handler:     p.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
@@ -267,12 +243,5 @@
 		<-p.served
 	}
 	p.log.WithField("tookMs", time.Since(began).Milliseconds()).WithField("cut", err != nil).Info("gateway stopped")
-	p.clean()
-}
-
-// clean runs the clean-ups in the reverse order.
-func (p *process) clean() {
-	for i := len(p.cleanups) - 1; i >= 0; i-- {
-		p.cleanups[i]()
-	}
+	p.cleanups.Run()
 }
--- a/cmd/keeper/main.go
+++ b/cmd/keeper/main.go
@@ -12,7 +12,6 @@
 import (
 	"net/http"
 	"os"
-	"runtime/debug"
 
 	"github.com/zeromicro/go-zero/rest"
 	"google.golang.org/grpc"
@@ -30,14 +29,6 @@
 	"github.com/knapweedpulley/knapweedpulley/web"
 )
 
-const (
-	// memoryPart is the part of the machine's memory that the collector aims
-	// to stay below.
-	memoryPart = 0.6
-	// bytesPerMB is the platform's unit of memory.
-	bytesPerMB = 1_000_000
-)
-
 // Settings configures a keeper.
 type Settings struct {
 	ID string `json:"id"`
@@ -67,37 +58,32 @@
 }
 
 func start(s Settings) (program.Process, error) {
-	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB*bytesPerMB)))
+	machine.LimitMemory(s.MemoryMB)
 	lines, flush := logbook.NewQueue(os.Stdout)
 	log := logbook.New(lines, logbook.Level(s.LogLevel), "keeper", s.ID)
 	_, metrics, closeMetrics := metric.New("keeper", s.ID)
 	pool, closePool := exchange.NewPool()
 	k, closeKeeper := keeper.New(platform.NewEngine(pool, s.Engine, s.ID), machine.NewClock(), log)
-	cleanups := []knapweedpulley.Cleanup{flush, closeMetrics, closePool, closeKeeper}
-	clean := func() {
-		for i := len(cleanups) - 1; i >= 0; i-- {
-			cleanups[i]()
-		}
-	}
+	cleanups := program.Cleanups{flush, closeMetrics, closePool, closeKeeper}
 	_, closeServer, err := link.NewServer(s.Listen, nil, func(r grpc.ServiceRegistrar) { link.RegisterKeeper(r, k) })
 	if err != nil {
-		clean()
+		cleanups.Run()
 		return program.Process{}, err
 	}
-	cleanups = append(cleanups, closeServer)
+	cleanups.Add(closeServer)
 	closePage, err := web.Serve(s.Metrics, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	})
 	if err != nil {
-		clean()
+		cleanups.Run()
 		return program.Process{}, err
 	}
-	cleanups = append(cleanups, closePage)
+	cleanups.Add(closePage)
 	log.WithField("engine", s.Engine).Info("keeper started")
 	return program.Process{
 		Cleanup: func() {
 			log.Info("keeper stops")
-			clean()
+			cleanups.Run()
 		},
 		Reload: func() { log.Info("settings hold from the next start on") },
 	}, nil
--- a/endpoint.go
+++ b/endpoint.go
@@ -25,6 +25,18 @@
 	TierRemote
 )
 
+// String returns the tier as it stands in logs.
+func (t CacheTier) String() string {
+	switch t {
+	case TierMemory:
+		return "memory"
+	case TierDisk:
+		return "disk"
+	default:
+		return "remote"
+	}
+}
+
 // LoadedModel is a model that occupies an engine's memory.
 type LoadedModel struct {
 	Model    ModelID
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -21,27 +21,27 @@
 	failureWeight = 0.1
 )
 
-// heard is a keeper's report when it arrived.
-type heard struct {
+// stampedReport is a keeper's report when it arrived.
+type stampedReport struct {
 	knapweedpulley.EngineReport
 	at knapweedpulley.Instant
 	// active is the number of the gateway's own requests at that time.
 	active int32
 }
 
-// told is the load that came with an answer.
-type told struct {
+// stampedLoad is the load that came with an answer.
+type stampedLoad struct {
 	knapweedpulley.EndpointLoad
 	active int32
 }
 
 // Endpoint is an endpoint as one gateway sees it.
 type Endpoint struct {
-	id    knapweedpulley.EndpointID
-	clock knapweedpulley.Clock
-	entry atomic.Pointer[knapweedpulley.RegisteredEndpoint]
-	heard atomic.Pointer[heard]
-	told  atomic.Pointer[told]
+	id     knapweedpulley.EndpointID
+	clock  knapweedpulley.Clock
+	entry  atomic.Pointer[knapweedpulley.RegisteredEndpoint]
+	report atomic.Pointer[stampedReport]
+	load   atomic.Pointer[stampedLoad]
 	// active counts the gateway's requests, prompts the tokens of those that
 	// have no first event yet.
 	active  atomic.Int32
@@ -72,7 +72,7 @@
 // Report returns the last report of the keeper and its age, if it is about the
 // registered run of the endpoint and fresh enough.
 func (e *Endpoint) Report() (*knapweedpulley.EngineReport, time.Duration, bool) {
-	h := e.heard.Load()
+	h := e.report.Load()
 	if h == nil || h.Start < e.Entry().Start {
 		return nil, 0, false
 	}
@@ -97,9 +97,9 @@
 func (e *Endpoint) Load() int {
 	mine := int(e.active.Load())
 	if r, _, fresh := e.Report(); fresh {
-		return mine + max(0, r.Running+r.Waiting-int(e.heard.Load().active))
+		return mine + max(0, r.Running+r.Waiting-int(e.report.Load().active))
 	}
-	if t := e.told.Load(); t != nil {
+	if t := e.load.Load(); t != nil {
 		return mine + max(0, t.Running+t.Waiting-int(t.active))
 	}
 	return mine
@@ -107,7 +107,7 @@
 
 // Slots returns how many requests the endpoint runs at once, or zero.
 func (e *Endpoint) Slots() int {
-	if t := e.told.Load(); t != nil && t.Slots > 0 {
+	if t := e.load.Load(); t != nil && t.Slots > 0 {
 		return t.Slots
 	}
 	return e.Entry().Slots
@@ -131,12 +131,12 @@
 
 // Observe takes over the load that came with an answer.
 func (e *Endpoint) Observe(l knapweedpulley.EndpointLoad) {
-	e.told.Store(&told{EndpointLoad: l, active: e.active.Load()})
+	e.load.Store(&stampedLoad{EndpointLoad: l, active: e.active.Load()})
 }
 
 func (e *Endpoint) hear(r knapweedpulley.EngineReport) {
 	e.lostUntil.Store(0)
-	e.heard.Store(&heard{EngineReport: r, at: e.clock.Now(), active: e.active.Load()})
+	e.report.Store(&stampedReport{EngineReport: r, at: e.clock.Now(), active: e.active.Load()})
 }
 
 // Outcome is what became of a request at an endpoint.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,7 +74,7 @@
 	defer f.mu.Unlock()
 	before, lost := e.Models(), e.lost()
 	e.hear(r)
-	if lost || !sameModels(before, e.Models()) {
+	if lost || !knapweedpulley.SameModels(before, e.Models()) {
 		last := f.index.Load()
 		f.replace(last, last.byID)
 	}
@@ -182,9 +182,3 @@
 		}
 	}
 }
-
-func sameModels(a, b []knapweedpulley.LoadedModel) bool {
-	return slices.EqualFunc(a, b, func(m, n knapweedpulley.LoadedModel) bool {
-		return m.Model == n.Model && m.State == n.State && slices.Equal(m.Adapters, n.Adapters)
-	})
-}
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -79,10 +79,11 @@
 	}
 	running.Go(func() { configuration.follow(ctx) })
 	running.Go(func() { endpoints.follow(ctx) })
-	running.Go(func() { f.expire(ctx) })
+	stop := machine.Every(returnGrace/4, f.drop)
 	return f, func() {
 		cancel()
 		running.Wait()
+		stop()
 	}
 }
 
@@ -211,13 +212,7 @@
 	f.log.WithField("endpoint", id).Info("endpoint gone")
 }
 
-// expire drops the endpoints that did not come back after an outage.
-func (f *Follower) expire(ctx context.Context) {
-	for machine.Pause(ctx, returnGrace/4) == nil {
-		f.drop()
-	}
-}
-
+// drop drops the endpoints that did not come back after an outage.
 func (f *Follower) drop() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -213,7 +213,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	entry := k.log.WithField("order", o.Kind).WithField("model", o.Model).WithField("adapter", o.Adapter).
-		WithField("sequence", o.Sequence).WithField("outcome", outcome)
+		WithField("sequence", o.Sequence).WithField("outcome", outcome.String())
 	if err != nil {
 		entry.WithError(err).Warn("order has no answer")
 	} else {
@@ -221,21 +221,10 @@
 	}
 	if o.Kind == knapweedpulley.OrderLoadModel &&
 		(outcome == knapweedpulley.OrderAccepted || outcome == knapweedpulley.OrderUnknown) {
-		tier := k.tier(o.Model)
+		tier := k.reading.Tier(o.Model)
 		k.loading = &load{
 			Resident: o.Resident, tier: tier, began: began, takes: k.spec.Models[o.Model].LoadTime(tier),
 		}
 	}
 	return outcome == knapweedpulley.OrderAccepted || outcome == knapweedpulley.OrderHolds
 }
-
-// tier returns from where the engine would load a model.
-func (k *Keeper) tier(model knapweedpulley.ModelID) knapweedpulley.CacheTier {
-	tier := knapweedpulley.TierRemote
-	for _, c := range k.reading.Cached {
-		if c.Model == model {
-			tier = min(tier, c.Tier)
-		}
-	}
-	return tier
-}
--- a/keeper/session.go
+++ b/keeper/session.go
@@ -155,17 +155,13 @@
 
 // differs reports whether a gateway would decide otherwise by the new report.
 func differs(r, last *knapweedpulley.EngineReport, byLoad bool) bool {
-	if !slices.EqualFunc(r.Models, last.Models, sameModel) || !slices.Equal(r.Queue, last.Queue) ||
+	if !knapweedpulley.SameModels(r.Models, last.Models) || !slices.Equal(r.Queue, last.Queue) ||
 		len(r.Loading) != len(last.Loading) || !slices.Equal(r.Gateways, last.Gateways) {
 		return true
 	}
 	return byLoad && (r.Running != last.Running || r.Waiting != last.Waiting)
 }
 
-func sameModel(a, b knapweedpulley.LoadedModel) bool {
-	return a.Model == b.Model && a.State == b.State && slices.Equal(a.Adapters, b.Adapters)
-}
-
 // gateways lists the gateways that attend, each once.
 func (k *Keeper) gateways() []knapweedpulley.Member {
 	var list []knapweedpulley.Member
--- a/link/keepermessages.go
+++ b/link/keepermessages.go
@@ -99,7 +99,7 @@
 		Free: int64(r.Free), Evictable: int64(r.Evictable), Spare: int64(r.Spare),
 		LifetimeNanoseconds: int64(r.Lifetime),
 	}
-	if last == nil || !slices.EqualFunc(r.Models, last.Models, sameHeld) {
+	if last == nil || !knapweedpulley.SameModels(r.Models, last.Models) {
 		m.Models = encodeModels(r.Models)
 	}
 	if last == nil || !slices.Equal(r.Cached, last.Cached) {
@@ -140,10 +140,6 @@
 	return m
 }
 
-func sameHeld(a, b knapweedpulley.LoadedModel) bool {
-	return a.Model == b.Model && a.State == b.State && slices.Equal(a.Adapters, b.Adapters)
-}
-
 // decodeReportChange completes a report by what has not changed since the last.
 func decodeReportChange(m *linkpb.KeeperReport, last *knapweedpulley.EngineReport) knapweedpulley.EngineReport {
 	r := knapweedpulley.EngineReport{
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"context"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -41,17 +40,7 @@
 // NewDemand starts to count. The clean-up ends it.
 func NewDemand() (*Demand, knapweedpulley.Cleanup) {
 	d := &Demand{}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() {
-		for machine.Pause(ctx, ratePeriod) == nil {
-			d.age()
-		}
-	})
-	return d, func() {
-		cancel()
-		running.Wait()
-	}
+	return d, machine.Every(ratePeriod, d.age)
 }
 
 // Arrive counts a request for a model, and for an adapter if one is named.
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -161,7 +161,7 @@
 	}
 	p.wakes[t] = asked
 	p.log.WithField("model", t.weights.Model).WithField("adapter", t.weights.Adapter).
-		WithField("endpoint", e.ID()).WithField("tier", tier).WithField("expected", eta.String()).Info("load asked for")
+		WithField("endpoint", e.ID()).WithField("tier", tier.String()).WithField("expected", eta.String()).Info("load asked for")
 	return eta, true
 }
 
@@ -229,7 +229,7 @@
 		}
 	}
 	if p.clock.Now().Sub(w.sent) < acceptance {
-		return backlog(r, age, spec) + spec.Models[t.weights.Model].LoadTime(tierOf(r, t.weights.Model)), true
+		return backlog(r, age, spec) + spec.Models[t.weights.Model].LoadTime(r.Tier(t.weights.Model)), true
 	}
 	return 0, false
 }
@@ -280,7 +280,7 @@
 		}
 		return d, knapweedpulley.TierMemory, true
 	}
-	tier := tierOf(r, w.Model)
+	tier := r.Tier(w.Model)
 	d := backlog(r, age, spec) + model.LoadTime(tier)
 	switch {
 	case r.Free+r.Evictable < model.Size:
@@ -306,23 +306,12 @@
 	}
 	for _, q := range r.Queue {
 		if q.Adapter == "" {
-			d += spec.Models[q.Model].LoadTime(tierOf(r, q.Model)) + evictionTime
+			d += spec.Models[q.Model].LoadTime(r.Tier(q.Model)) + evictionTime
 		}
 	}
 	return max(0, d)
 }
 
-// tierOf returns from where an engine would load a model.
-func tierOf(r *knapweedpulley.EngineReport, model knapweedpulley.ModelID) knapweedpulley.CacheTier {
-	tier := knapweedpulley.TierRemote
-	for _, c := range r.Cached {
-		if c.Model == model {
-			tier = min(tier, c.Tier)
-		}
-	}
-	return tier
-}
-
 // remoteLoadsOf counts the loads from the weight store that are under way.
 func (p *Placer) remoteLoadsOf(service knapweedpulley.ServiceID) int {
 	n := 0
--- a/program/program.go
+++ b/program/program.go
@@ -77,6 +77,22 @@
 	return o, nil
 }
 
+// Cleanups are the clean-ups of the parts of a process, in the order of their
+// construction.
+type Cleanups []knapweedpulley.Cleanup
+
+// Add notes the clean-ups of parts that were constructed.
+func (c *Cleanups) Add(cleanups ...knapweedpulley.Cleanup) {
+	*c = append(*c, cleanups...)
+}
+
+// Run runs the clean-ups, the last first.
+func (c *Cleanups) Run() {
+	for i := len(*c) - 1; i >= 0; i-- {
+		(*c)[i]()
+	}
+}
+
 // Process is a running process of the system.
 type Process struct {
 	Cleanup knapweedpulley.Cleanup
--- a/residency.go
+++ b/residency.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -64,6 +65,25 @@
 	return false
 }
 
+// Tier returns from where the engine would load a model.
+func (r *EngineReport) Tier(model ModelID) CacheTier {
+	tier := TierRemote
+	for _, c := range r.Cached {
+		if c.Model == model {
+			tier = min(tier, c.Tier)
+		}
+	}
+	return tier
+}
+
+// SameModels reports whether two lists name the same models and adapters in the
+// same states.
+func SameModels(a, b []LoadedModel) bool {
+	return slices.EqualFunc(a, b, func(m, n LoadedModel) bool {
+		return m.Model == n.Model && m.State == n.State && slices.Equal(m.Adapters, n.Adapters)
+	})
+}
+
 // ResidentWake asks the keeper of an engine to load a model or an adapter.
 type ResidentWake struct {
 	Resident
@@ -116,6 +136,20 @@
 	OrderRefused
 )
 
+// String returns the outcome as it stands in logs.
+func (o OrderOutcome) String() string {
+	switch o {
+	case OrderAccepted:
+		return "accepted"
+	case OrderHolds:
+		return "holds"
+	case OrderRefused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
+
 // EngineReading is what an engine says of itself.
 type EngineReading struct {
 	EngineReport
