Keep the spelling of tiers in errors, and let plain requests run longer in the soak

In the soak, plain requests of 8 ms were hardly ever hit by a fault. Change: the word of a tier is Name; a plain request takes 50 ms.

--- a/endpoint.go
+++ b/endpoint.go
@@ -25,8 +25,8 @@
 	TierRemote
 )
 
-// String returns the tier as it stands in logs.
-func (t CacheTier) String() string {
+// Name returns the tier as it stands in logs.
+func (t CacheTier) Name() string {
 	switch t {
 	case TierMemory:
 		return "memory"
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -18,9 +18,11 @@
 const (
 	// heartbeat is the time between two writes of an endpoint's entry.
 	heartbeat = 400 * time.Millisecond
-	// loadTime is what a load of a model takes, and pieceTime an event.
+	// loadTime is what a load of a model takes, pieceTime an event, and
+	// plainTime a request to a plain service.
 	loadTime  = 300 * time.Millisecond
 	pieceTime = 8 * time.Millisecond
+	plainTime = 50 * time.Millisecond
 	// places is the number of models that fit into an engine.
 	places = 2
 	// pieces is the number of events of a stream.
@@ -286,7 +288,7 @@
 	})
 	w.Header().Set("X-Server-Stamp", id+"/"+request)
 	if r.Header.Get("X-Model") == "" {
-		time.Sleep(pieceTime)
+		time.Sleep(plainTime)
 		_, _ = fmt.Fprintf(w, "answer to %s", request) //nolint:gosec // No browser reads it.
 		return
 	}
--- a/placement/wake.go
+++ b/placement/wake.go
@@ -161,7 +161,7 @@
 	}
 	p.wakes[t] = asked
 	p.log.WithField("model", t.weights.Model).WithField("adapter", t.weights.Adapter).
-		WithField("endpoint", e.ID()).WithField("tier", tier.String()).WithField("expected", eta.String()).Info("load asked for")
+		WithField("endpoint", e.ID()).WithField("tier", tier.Name()).WithField("expected", eta.String()).Info("load asked for")
 	return eta, true
 }
 
