Send what may run once over fresh connections only

Cause: the bound on unused connections held for second sends only; on the grown sites endpoints drop unused connections without notice, and a request that is reset there can't be sent again.

--- a/exchange.go
+++ b/exchange.go
@@ -59,7 +59,8 @@
 	Timeout time.Duration
 	// LastEvent is the id of the last event that was passed on.
 	LastEvent string
-	// Fresh asks for a new connection.
+	// Fresh asks for a connection that was used just now or is new, as one that
+	// was unused for long may be dead.
 	Fresh bool
 	// Priority ranks the call at the endpoint; zero is the most urgent.
 	Priority int
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -156,7 +156,7 @@
 		Customer:  p.admission.Customer(),
 		Timeout:   p.left(),
 		LastEvent: p.lastEvent,
-		Fresh:     p.admission.Route.Repeat == knapweedpulley.AtMostOnce && e.Active() > 0 && p.sends > 1,
+		Fresh:     p.admission.Route.Repeat == knapweedpulley.AtMostOnce,
 		Priority:  p.admission.Priority,
 	}
 }
