--- a/faults/soak/world.go
+++ b/faults/soak/world.go
@@ -23,6 +23,8 @@
 	grace = 8 * time.Second
 	// storeTimeout bounds a gateway's call to the store.
 	storeTimeout = 700 * time.Millisecond
+	// networks is the number of loopback networks that worlds share.
+	networks = 200
 	// startTimeout bounds the wait for the first service.
 	startTimeout = 20 * time.Second
 )
@@ -68,7 +70,7 @@
 // for settings and logs.
 func NewWorld(binaries, directory string, random *rand.Rand) (*World, error) {
 	w := &World{
-		directory: directory, binaries: binaries, network: 1 + random.IntN(200),
+		directory: directory, binaries: binaries, network: 1 + random.IntN(networks),
 		store: NewStore(), records: NewRecords(),
 		keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time),
 	}
@@ -84,9 +86,9 @@
 }
 
 func (w *World) start() error {
-	listener, err := net.Listen("tcp", w.address(1, 1, 9000))
+	listener, err := w.listen()
 	if err != nil {
-		return errors.Wrap(err, "listen for the store")
+		return err
 	}
 	w.web = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = w.web.Serve(listener) }()
@@ -111,6 +113,18 @@
 	return w.awaitReady()
 }
 
+// listen takes the first network that no other world on the machine has.
+func (w *World) listen() (net.Listener, error) {
+	for range networks {
+		listener, err := net.Listen("tcp", w.address(1, 1, 9000))
+		if err == nil {
+			return listener, nil
+		}
+		w.network = 1 + w.network%networks
+	}
+	return nil, errors.New("all loopback networks are taken")
+}
+
 func (w *World) addEngine(n int) error {
 	s := &Server{Endpoint: NewEndpoint("llm", w.address(31, n, 8000), w.address(30, n, 8000), true, w.store, w.records)}
 	var err error
@@ -296,7 +310,9 @@
 		s.proxy.Close()
 		s.Close()
 	}
-	_ = w.web.Close()
+	if w.web != nil {
+		_ = w.web.Close()
+	}
 }
 
 // Logs copies the logs of the processes to a directory.
