--- a/program/program.go
+++ b/program/program.go
@@ -37,7 +37,11 @@
 // asked for them would be lost.
 var signals = notify()
 
+// notify keeps go-zero from ending the process a few seconds after a signal,
+// while requests still run, and only then asks for signals: go-zero reads its
+// settings, without a lock, when one comes.
 func notify() <-chan os.Signal {
+	proc.Setup(proc.ShutdownConf{WrapUpTime: forcedStop, WaitTime: forcedStop})
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return c
@@ -126,7 +130,8 @@
 	if o.Check {
 		return ExitDone
 	}
-	tameLibrary()
+	// go-zero writes a log of its own.
+	logx.Disable()
 	for {
 		p, err := start(s)
 		if err != nil {
@@ -157,14 +162,6 @@
 	}
 }
 
-// tameLibrary keeps go-zero, which acts by itself in every process that links
-// it, from ending the process a few seconds after a signal, while requests still
-// run, and from writing a log of its own.
-func tameLibrary() {
-	proc.Setup(proc.ShutdownConf{WrapUpTime: forcedStop, WaitTime: forcedStop})
-	logx.Disable()
-}
-
 func fail(stderr io.Writer, name string, err error, status int) int {
 	_, _ = fmt.Fprintf(stderr, "%s: %v\n", name, err)
 	return status
