Load rare models on engines outside the cell of a gateway

Cause: in a fleet of several cells a gateway asked only the keepers of its own zone for loads. Change: entries of endpoints tell which checkpoints their machines have. The placer weighs these engines too, connects to the keeper of the one it chooses and stays connected while it has requests there; the keeper doesn't list such a visitor and gets no configuration from it. Loads from the weight store stay with the cell, within the cell's share of the concurrent loads. Ruled out: connections to all keepers (a registrar of such had 802 KB a second, docs/CAPACITY.md) and a hop through a gateway of the other zone.

--- a/installation.go
+++ b/installation.go
@@ -148,6 +148,8 @@
 	Slots int
 	// Models lists the models that the endpoint holds.
 	Models []LoadedModel
+	// Cached lists the checkpoints that the endpoint's machine holds outside the engine.
+	Cached []CachedCheckpoint
 }
 
 // InstallationDecoder decodes the objects that the operator and the endpoints write
--- a/placement/keepersession.go
+++ b/placement/keepersession.go
@@ -44,6 +44,10 @@
 	// noteDue triggers a check whether a note must be sent.
 	noteDue chan struct{}
 	cancel  context.CancelFunc
+	// visiting is set if the engine is outside the gateway's cell. The keeper then gets the
+	// engine's configuration from the gateways of its own cell, and doesn't list this gateway.
+	visiting bool
+	openedAt knapweedpulley.Instant
 }
 
 // triggerNote makes the session send a note if the use of the models has changed.
@@ -122,7 +126,7 @@
 	var sent knapweedpulley.Instant
 	for {
 		n := s.buildNote()
-		if now := s.placer.engineSpec(s.endpoint.Registration().Service); now != nil && now != spec {
+		if now := s.placer.engineSpec(s.endpoint.Registration().Service); now != nil && now != spec && !s.visiting {
 			n.Engine = knapweedpulley.Some(*now)
 			spec, sent = now, 0
 		}
@@ -139,7 +143,7 @@
 		case <-s.noteDue:
 		case w := <-s.loadRequests:
 			if err := stream.Send(knapweedpulley.GatewayMessage{
-				Gateway: s.placer.self, Endpoint: s.endpoint.ID(), LoadRequests: []knapweedpulley.ResidentLoadRequest{w},
+				Gateway: s.sender(), Endpoint: s.endpoint.ID(), LoadRequests: []knapweedpulley.ResidentLoadRequest{w},
 			}); err != nil {
 				return
 			}
@@ -158,7 +162,7 @@
 
 // buildNote returns a note on how the gateway uses the models of the engine.
 func (s *keeperSession) buildNote() knapweedpulley.GatewayMessage {
-	n := knapweedpulley.GatewayMessage{Gateway: s.placer.self, Endpoint: s.endpoint.ID(), HasDemands: true}
+	n := knapweedpulley.GatewayMessage{Gateway: s.sender(), Endpoint: s.endpoint.ID(), HasDemands: true}
 	for _, m := range s.endpoint.Models() {
 		n.Demands = append(n.Demands, s.demand(knapweedpulley.Resident{Model: m.Model}))
 		for _, d := range m.Adapters {
@@ -168,6 +172,14 @@
 	return n
 }
 
+// sender returns the gateway as the keeper is to list it. A keeper doesn't list visitors.
+func (s *keeperSession) sender() knapweedpulley.Member {
+	if s.visiting {
+		return knapweedpulley.Member{}
+	}
+	return s.placer.self
+}
+
 // demand returns how the gateway uses a model or adapter of the engine.
 func (s *keeperSession) demand(w knapweedpulley.Resident) knapweedpulley.ModelDemand {
 	d := s.placer.demand
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -62,6 +62,8 @@
 	endpoint *fleet.Endpoint
 	// sentAt is when the load request was last queued for sending.
 	sentAt knapweedpulley.Instant
+	// expectedAt is when the load was expected to end when it was requested.
+	expectedAt knapweedpulley.Instant
 	// extendedAt is when the load was last extended for refused callers that will retry.
 	extendedAt knapweedpulley.Instant
 	// fromWeightStore is set if the weights come from the weight store.
@@ -157,10 +159,12 @@
 	if !found {
 		return 0, false
 	}
-	if tier == knapweedpulley.TierRemote && (p.countRemoteLoads(t.service) >= p.remoteLoads || !p.loadLimiter.allow(t.service)) {
+	if tier == knapweedpulley.TierRemote && (p.countRemoteLoads(t.service) >= p.remoteLoadLimit(t.service) || !p.loadLimiter.allow(t.service)) {
 		return eta, true
 	}
-	pending := &pendingLoad{endpoint: e, fromWeightStore: tier == knapweedpulley.TierRemote}
+	pending := &pendingLoad{
+		endpoint: e, fromWeightStore: tier == knapweedpulley.TierRemote, expectedAt: p.clock.Now().Add(eta),
+	}
 	if !p.sendRequest(pending, t, r) {
 		return 0, false
 	}
@@ -190,7 +194,7 @@
 
 // sendRequestFor does the same with the given lifetime.
 func (p *Placer) sendRequestFor(load *pendingLoad, t loadTarget, r LoadRequest, lifetime time.Duration) bool {
-	s := p.sessions[load.endpoint.ID()]
+	s := p.visit(load.endpoint)
 	if s == nil {
 		return false
 	}
@@ -218,7 +222,8 @@
 	}
 	r, age, fresh := load.endpoint.Report()
 	if !fresh {
-		return 0, false
+		left := load.expectedAt.Sub(p.clock.Now())
+		return max(0, left), p.awaitsFirstReport(load.endpoint)
 	}
 	spec := p.engineSpec(t.service)
 	if spec == nil {
@@ -256,11 +261,10 @@
 	var bestTier knapweedpulley.CacheTier
 	var bestRank uint64
 	for _, e := range p.fleet.Service(t.service) {
-		r, age, fresh := e.Report()
-		if !fresh || e.Avoided() || knapweedpulley.Holds(r.Models, t.weights) {
+		if e.Avoided() || knapweedpulley.Holds(e.Models(), t.weights) {
 			continue
 		}
-		d, tier, fits := estimateLoadTime(r, age, spec, model, t.weights)
+		d, tier, fits := p.estimate(e, spec, model, t.weights)
 		if !fits {
 			continue
 		}
@@ -273,6 +277,27 @@
 	return best, bestTime, bestTier, best != nil
 }
 
+// estimate returns the time until an engine would have loaded a target and the tier from which it
+// loads, and false if the engine can't be asked or has no room. The caller holds mu.
+func (p *Placer) estimate(
+	e *fleet.Endpoint, spec *knapweedpulley.EngineSpec, model knapweedpulley.ModelSpec, w knapweedpulley.Resident,
+) (time.Duration, knapweedpulley.CacheTier, bool) {
+	if r, age, fresh := e.Report(); fresh {
+		return estimateLoadTime(r, age, spec, model, w)
+	}
+	if p.sessions[e.ID()] != nil && !p.awaitsFirstReport(e) {
+		return 0, 0, false
+	}
+	return estimateFromRegistration(e.Registration(), spec, model, w)
+}
+
+// awaitsFirstReport reports whether the session with the keeper of an engine was opened so
+// recently that its first report may still be on its way. The caller holds mu.
+func (p *Placer) awaitsFirstReport(e *fleet.Endpoint) bool {
+	s := p.sessions[e.ID()]
+	return s != nil && p.clock.Now().Sub(s.openedAt) < acceptanceTimeout
+}
+
 // estimateLoadTime returns the time until an engine would have loaded a target and the tier from
 // which it loads, and false if it has no room.
 func estimateLoadTime(
@@ -320,6 +345,19 @@
 	return max(0, d)
 }
 
+// remoteLoadLimit returns the number of concurrent loads from the weight store that the gateway
+// allows at the engines that report to it: their share of remoteLoads, but at least one.
+func (p *Placer) remoteLoadLimit(service knapweedpulley.ServiceID) int {
+	endpoints := p.fleet.Service(service)
+	reporting := 0
+	for _, e := range endpoints {
+		if _, _, fresh := e.Report(); fresh {
+			reporting++
+		}
+	}
+	return max(1, (p.remoteLoads*reporting+len(endpoints)/2)/max(1, len(endpoints)))
+}
+
 // countRemoteLoads returns the number of loads from the weight store that are in progress at the
 // endpoints of a service or were requested by this gateway within acceptanceTimeout.
 func (p *Placer) countRemoteLoads(service knapweedpulley.ServiceID) int {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -27,6 +27,7 @@
 	report   knapweedpulley.EngineReport
 	requests []knapweedpulley.ResidentLoadRequest
 	silent   bool
+	streams  int
 }
 
 func (k *fakeKeeper) setReport(change func(r *knapweedpulley.EngineReport)) {
@@ -35,6 +36,19 @@
 	change(&k.report)
 }
 
+// connected reports whether a stream to the keeper is open.
+func (k *fakeKeeper) connected() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.streams > 0
+}
+
+func (k *fakeKeeper) addStreams(n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.streams += n
+}
+
 func (k *fakeKeeper) requestCount() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -49,6 +63,8 @@
 	if !known {
 		return nil, errors.New("no keeper at this address")
 	}
+	k.addStreams(1)
+	context.AfterFunc(ctx, func() { k.addStreams(-1) })
 	return &fakeKeeperStream{fakeKeeper: k, ctx: ctx}, nil
 }
 
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -5,7 +5,9 @@
 // keepers. Gateways that are connected to the same keepers mostly agree, because ties are broken
 // by rendezvous hashing. When they disagree, a model is loaded on one more engine than necessary.
 // Only the keeper gives orders to its engine, and it makes the final decision. In a large fleet a
-// gateway connects only to the keepers of one cell of engines.
+// gateway stays connected only to the keepers of one cell of engines. It visits the keepers of
+// other engines while it has requests there, for example if only their machines have a copy of a
+// model.
 //
 // # Usage
 //
@@ -63,6 +65,10 @@
 	pendingLoads map[loadTarget]*pendingLoad
 	sessions     map[knapweedpulley.EndpointID]*keeperSession
 	cellSelector *cellSelector
+	visits       *visits
+	// runSession runs a session in the background until the placer is closed.
+	runSession func(*keeperSession)
+	closed     bool
 }
 
 // NewPlacer returns a placer and connects to the keepers. The clean-up closes the streams to them.
@@ -72,13 +78,21 @@
 		remoteLoads: o.RemoteLoads, loadLimiter: newLoadLimiter(o.Gateways),
 		pendingLoads: make(map[loadTarget]*pendingLoad),
 		sessions:     make(map[knapweedpulley.EndpointID]*keeperSession),
-		cellSelector: newCellSelector(o.Self),
+		cellSelector: newCellSelector(o.Self), visits: newVisits(),
 	}
 	p.gateways.Store(int64(o.Gateways))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
+	p.runSession = func(s *keeperSession) {
+		sessionCtx, cancel := context.WithCancel(ctx)
+		s.cancel = cancel
+		running.Go(func() { s.run(sessionCtx) })
+	}
 	running.Go(func() { p.maintainSessions(ctx) })
 	return p, func() {
+		p.mu.Lock()
+		p.closed = true
+		p.mu.Unlock()
 		cancel()
 		running.Wait()
 	}
@@ -120,13 +134,11 @@
 
 // maintainSessions keeps a session with the keeper of each selected engine until ctx ends.
 func (p *Placer) maintainSessions(ctx context.Context) {
-	var running sync.WaitGroup
-	defer running.Wait()
 	ticker := time.NewTicker(notePeriod)
 	defer ticker.Stop()
 	for {
 		changed := p.fleet.Changed()
-		p.updateSessions(ctx, &running)
+		p.updateSessions()
 		select {
 		case <-ctx.Done():
 			return
@@ -138,13 +150,22 @@
 
 // updateSessions ends the sessions of engines that are gone or no longer selected, triggers notes
 // in the others and starts the missing ones.
-func (p *Placer) updateSessions(ctx context.Context, running *sync.WaitGroup) {
+func (p *Placer) updateSessions() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
 	endpoints := p.fleet.Endpoints()
-	selected := p.selectedEngines(endpoints)
+	engines := p.engines(endpoints)
+	cell := p.cellSelector.selectEngines(engines)
+	p.visits.update(p.clock.Now(), engines, cell)
 	for id, s := range p.sessions {
-		if endpoints[id] != s.endpoint || !selected.Has(id) {
+		stays := cell.Has(id)
+		if s.visiting {
+			stays = p.visits.has(id)
+		}
+		if endpoints[id] != s.endpoint || !stays {
 			s.cancel()
 			delete(p.sessions, id)
 		}
@@ -152,30 +173,48 @@
 	for _, s := range p.sessions {
 		s.triggerNote()
 	}
-	for id, e := range endpoints {
-		if p.sessions[id] != nil || !selected.Has(id) {
-			continue
+	for _, e := range engines {
+		if p.sessions[e.ID()] == nil && (cell.Has(e.ID()) || p.visits.has(e.ID())) {
+			p.openSession(e, !cell.Has(e.ID()))
 		}
-		sessionCtx, cancel := context.WithCancel(ctx)
-		s := &keeperSession{
-			placer: p, endpoint: e, cancel: cancel,
-			loadRequests: make(chan knapweedpulley.ResidentLoadRequest, maxQueuedRequests), noteDue: make(chan struct{}, 1),
-		}
-		p.sessions[id] = s
-		running.Go(func() { s.run(sessionCtx) })
 	}
 	p.demand.RemoveEndpoints(func(id knapweedpulley.EndpointID) bool { return endpoints[id] == nil })
 }
 
-// selectedEngines returns the engines to whose keepers the gateway connects.
-func (p *Placer) selectedEngines(
-	endpoints map[knapweedpulley.EndpointID]*fleet.Endpoint,
-) knapweedpulley.Set[knapweedpulley.EndpointID] {
+// openSession starts a session with the keeper of an engine. The caller holds mu.
+func (p *Placer) openSession(e *fleet.Endpoint, visiting bool) *keeperSession {
+	s := &keeperSession{
+		placer: p, endpoint: e, visiting: visiting, openedAt: p.clock.Now(),
+		loadRequests: make(chan knapweedpulley.ResidentLoadRequest, maxQueuedRequests), noteDue: make(chan struct{}, 1),
+	}
+	p.sessions[e.ID()] = s
+	p.runSession(s)
+	return s
+}
+
+// visit returns the session with the keeper of an engine. If there is none, the engine is outside
+// the cell and a visit begins. It returns nil if there are too many visits. The caller holds mu.
+func (p *Placer) visit(e *fleet.Endpoint) *keeperSession {
+	s := p.sessions[e.ID()]
+	if s != nil && !s.visiting {
+		return s
+	}
+	if p.closed || !p.visits.extend(e.ID(), p.clock.Now()) {
+		return nil
+	}
+	if s == nil {
+		s = p.openSession(e, true)
+	}
+	return s
+}
+
+// engines returns the endpoints of the services that have model engines.
+func (p *Placer) engines(endpoints map[knapweedpulley.EndpointID]*fleet.Endpoint) []*fleet.Endpoint {
 	engines := make([]*fleet.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
 		if p.engineSpec(e.Registration().Service) != nil {
 			engines = append(engines, e)
 		}
 	}
-	return p.cellSelector.selectEngines(engines)
+	return engines
 }
--- a/residency.go
+++ b/residency.go
@@ -68,8 +68,14 @@
 
 // Tier returns the tier from which the engine would load a model.
 func (r *EngineReport) Tier(model ModelID) CacheTier {
+	return FastestTier(r.Cached, model)
+}
+
+// FastestTier returns the fastest tier in which cached lists a model. It is TierRemote if the
+// model is not listed.
+func FastestTier(cached []CachedCheckpoint, model ModelID) CacheTier {
 	tier := TierRemote
-	for _, c := range r.Cached {
+	for _, c := range cached {
 		if c.Model == model {
 			tier = min(tier, c.Tier)
 		}
