Let two gateways a zone watch the store and pass changes on

Cause: each gateway watched the store by itself. Change: installation.Follower replicates the configuration and the entries of endpoints with package configuration, which the product's own path has for its collections; its own watcher is removed, so that one mechanism serves both. Added to it: a minimum time between watches, a longer wait in a zone in which all watch, evidence of when an outage of the store ended (entries that vanish in one are kept, others go at once), a bound for the delays that grow with the rank, and watchers that turn to those of other zones as soon as the store fails them. A stopping gateway ends the feeds of its subscribers first, for which its links would wait 2 s. Ruled out: reads that may be stale, at a tenth of the price: a leaving endpoint must be out of use within drainMs.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -123,10 +123,16 @@
 	})
 	p.placer = placer
 	p.cleanups.Add(closePlacer)
-	follower, closeFollower := installation.NewFollower(
-		objects, platform.InstallationDecoder{}, clock, p.log, p.configure, p.fleet.Update)
+	// The subscriptions have connections of their own, because they close those that have
+	// stopped delivering data.
+	feeds, closeFeeds := link.NewConnections(nil)
+	p.cleanups.Add(closeFeeds)
+	follower, closeFollower := installation.NewFollower(installation.Options{
+		Self: self, Peers: p.peers, Link: link.NewConfigurationClient(feeds),
+		Objects: objects, Decoder: platform.InstallationDecoder{}, Clock: clock, Log: p.log,
+		OnConfiguration: p.configure, OnEndpoints: p.fleet.Update,
+	})
 	p.follower = follower
-	p.cleanups.Add(closeFollower)
 	exchanger := platform.NewExchanger(pool)
 	p.clock = clock
 	p.gateway = gateway.New(gateway.Options{
@@ -140,11 +146,14 @@
 	_, closeLinks, err := link.NewServer(p.settings.Links, nil, func(r grpc.ServiceRegistrar) {
 		link.RegisterAllowances(r, p.allowances)
 		link.RegisterSuspects(r, suspects)
+		link.RegisterConfiguration(r, follower)
 	})
 	if err != nil {
+		closeFollower()
 		return err
 	}
-	p.cleanups.Add(closeLinks)
+	// The follower is closed first: that ends the feeds of other gateways, for which the links wait.
+	p.cleanups.Add(closeLinks, closeFollower)
 	p.cleanups.Add(machine.Every(sweepPeriod, pool.Sweep), machine.Every(gatewayCountPeriod, p.updateGatewayCount))
 	if err := p.serveReadinessAndMetrics(metrics); err != nil {
 		return err
@@ -206,7 +215,7 @@
 
 // ready answers a readiness probe.
 func (p *process) ready(w http.ResponseWriter, _ *http.Request) {
-	if p.stopping.Load() || !p.follower.Ready() {
+	if p.stopping.Load() || !p.follower.Usable() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/configuration.go
+++ b/configuration.go
@@ -54,6 +54,9 @@
 	// CompleteAsOf is an instant on the sender's clock. The content contains all writes
 	// that the store accepted before it.
 	CompleteAsOf Instant
+	// ContinuousSince is the instant on the sender's clock since which the store has
+	// answered without an outage.
+	ContinuousSince Instant
 }
 
 // ConfigurationUpdate carries changes, and confirms up to which instant the
--- a/configuration/benchmark_test.go
+++ b/configuration/benchmark_test.go
@@ -69,7 +69,7 @@
 		name := fmt.Sprintf("customer-%d", i)
 		objects = append(objects, knapweedpulley.Object{Name: name, Value: versions(b, name, 1)[0], Revision: 1})
 	}
-	table.Replace(table.trimObjects(objects), 1, 1)
+	table.Replace(table.trimObjects(objects), 1, Evidence{CompleteAsOf: 1})
 	values := versions(b, "customer-0", changes)
 	b.ResetTimer()
 	for i := range b.N {
@@ -77,7 +77,7 @@
 		c := knapweedpulley.Change{Object: knapweedpulley.Object{
 			Name: "customer-0", Value: values[i%changes], Revision: revision,
 		}}
-		table.Advance(revision-1, withFullValues(table.trimChanges([]knapweedpulley.Change{c})), revision, 1)
+		table.Advance(revision-1, withFullValues(table.trimChanges([]knapweedpulley.Change{c})), revision, Evidence{CompleteAsOf: 1})
 	}
 	b.StopTimer()
 	sent, view, _ := table.Since(table.View().Revision - 1)
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -1,7 +1,9 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,16 @@
 	// Trim returns the part of a stored value that the processes keep. The result must depend on
 	// the value alone. Nil keeps the whole value.
 	Trim func(value []byte) []byte
+	// WatchWait is how long the store holds a watch request without changes. Zero stands for
+	// 500 ms. A longer wait puts off how soon a source that has lost the store is noticed by this
+	// collection alone.
+	WatchWait time.Duration
+	// LoneWatchWait is the same while all processes of the zone watch the store. Zero stands for
+	// WatchWait.
+	LoneWatchWait time.Duration
+	// WatchInterval is the minimum time between two watch requests. It bounds the calls to the
+	// store for a collection that changes all the time.
+	WatchInterval time.Duration
 }
 
 // Options holds the settings and dependencies of a configuration.
@@ -35,7 +47,12 @@
 	Link  knapweedpulley.ConfigurationLink
 	// Collections lists the replicated collections. All processes must list the same ones.
 	Collections []Collection
-	// Directory holds the versions of the customers that are in force.
+	// MaxTurn bounds the time for which a process waits, after its content has become stale, until
+	// it watches the store itself, and the pause after a failed call to the store. Both grow with
+	// the rank of the process otherwise. Zero means no bound.
+	MaxTurn time.Duration
+	// Directory holds the versions of the customers that are in force. It is nil in processes
+	// that don't replicate the customers.
 	Directory *customer.Directory
 	Log       log.Interface
 }
@@ -50,9 +67,18 @@
 	link      knapweedpulley.ConfigurationLink
 	log       log.Interface
 	directory *customer.Directory
+	maxTurn   time.Duration
 	tables    []*Table
 	startedAt knapweedpulley.Instant
-	// storeEvidence holds the evidence by collection that came directly from the store.
+	// ended is closed when the clean-up begins. It ends the feeds of subscribers.
+	ended <-chan struct{}
+	// lone is set while all processes of the zone watch the store, so that none depends on the
+	// evidence of this one.
+	lone atomic.Bool
+	// failing counts the collections for which the last call to the store has failed.
+	failing atomic.Int32
+	// storeEvidence holds the evidence by collection that came directly from the store, put off
+	// by staleTolerance.
 	storeEvidence map[knapweedpulley.Kind]*atomic.Int64
 	// peerEvidence is the newest evidence that came from a peer.
 	peerEvidence atomic.Int64
@@ -72,11 +98,12 @@
 }
 
 // New returns a configuration and starts to replicate the collections from the store and the peers.
-// The clean-up stops that and waits until it has ended.
+// The clean-up stops that and waits until it has ended; it also ends the feeds of subscribers.
 func New(o Options) (*Configuration, knapweedpulley.Cleanup) {
 	c := &Configuration{
 		self: o.Self, clock: o.Clock, objects: o.Objects, seeds: o.Peers, link: o.Link, log: o.Log,
 		directory:     o.Directory,
+		maxTurn:       cmp.Or(o.MaxTurn, time.Duration(math.MaxInt64)),
 		startedAt:     o.Clock.Now(),
 		storeEvidence: make(map[knapweedpulley.Kind]*atomic.Int64),
 		changed:       newSignal(),
@@ -88,6 +115,7 @@
 		c.storeEvidence[one.Kind] = new(atomic.Int64)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	c.ended = ctx.Done()
 	var group sync.WaitGroup
 	group.Go(func() { newSourceManager(c).run(ctx) })
 	group.Go(func() { c.signalWhenReady(ctx) })
@@ -103,6 +131,12 @@
 	return c.table(kind).View()
 }
 
+// Evidence returns how complete the content of a replicated collection is. It panics if the
+// collection is not replicated.
+func (c *Configuration) Evidence(kind knapweedpulley.Kind) Evidence {
+	return c.table(kind).Evidence()
+}
+
 // Changed returns a channel that is closed at the next change of any content. Callers must get the
 // channel before they read the content, or they may miss a change.
 func (c *Configuration) Changed() <-chan struct{} {
@@ -120,7 +154,7 @@
 func (c *Configuration) Age() time.Duration {
 	oldest := knapweedpulley.Instant(0)
 	for i, t := range c.tables {
-		if e := t.Evidence(); i == 0 || e < oldest {
+		if e := t.Evidence().CompleteAsOf; i == 0 || e < oldest {
 			oldest = e
 		}
 	}
@@ -180,6 +214,9 @@
 			r.States = append(r.States, s)
 		}
 	}
+	if c.directory == nil {
+		return r
+	}
 	for _, one := range c.directory.Current().Customers() {
 		r.Customers = append(r.Customers, knapweedpulley.CustomerVersion{Customer: one.ID, Version: one.Version})
 	}
@@ -204,10 +241,29 @@
 	return true
 }
 
+// fresh reports whether the evidence of all collections is fresh.
+func (c *Configuration) fresh() bool {
+	for _, t := range c.tables {
+		e := t.Evidence().CompleteAsOf
+		if e == 0 || c.clock.Now().Sub(e) > staleAfter+staleTolerance(c.watchWait(t)) {
+			return false
+		}
+	}
+	return true
+}
+
+// watchWait returns how long the store holds a watch of a collection without changes.
+func (c *Configuration) watchWait(t *Table) time.Duration {
+	if c.lone.Load() {
+		return t.loneWatchWait
+	}
+	return t.watchWait
+}
+
 // sourceInputs returns a snapshot of the state that the choice of a source depends on.
 func (c *Configuration) sourceInputs() sourceInputs {
 	inputs := sourceInputs{
-		now: c.clock.Now(), startedAt: c.startedAt, position: positionOf(c.self, c.peers()),
+		now: c.clock.Now(), startedAt: c.startedAt, maxTurn: c.maxTurn, storeFailing: c.failing.Load() > 0, position: positionOf(c.self, c.peers()),
 		peerEvidence:   knapweedpulley.Instant(c.peerEvidence.Load()),
 		lastPeerUpdate: knapweedpulley.Instant(c.lastPeerUpdate.Load()),
 	}
--- a/configuration/feed.go
+++ b/configuration/feed.go
@@ -20,6 +20,9 @@
 	minRefreshPeriod = 450 * time.Millisecond
 )
 
+// errEnded means that the process stops.
+var errEnded = errors.New("the configuration is no longer replicated")
+
 // cursor is the state of a subscriber as far as the feed knows it.
 type cursor struct {
 	have map[knapweedpulley.Kind]knapweedpulley.ConfigurationState
@@ -59,14 +62,17 @@
 // part returns the changes that bring the subscriber's collection up to date with a table, and
 // false if the table's content is unknown.
 func (c *cursor) part(t *Table) (knapweedpulley.ConfigurationPart, bool) {
-	evidence := t.Evidence()
+	// The content must be read after the evidence for it, and the end of the last outage after the
+	// content: the subscriber must learn of an outage no later than of the changes after it.
+	completeAsOf := t.Evidence().CompleteAsOf
 	have, known := c.have[t.kind]
 	changes, view, kept := t.Since(have.Revision)
 	if !view.Loaded {
 		return knapweedpulley.ConfigurationPart{}, false
 	}
 	p := knapweedpulley.ConfigurationPart{
-		Kind: t.kind, From: have.Revision, Revision: view.Revision, Digest: view.Digest, CompleteAsOf: evidence,
+		Kind: t.kind, From: have.Revision, Revision: view.Revision, Digest: view.Digest,
+		CompleteAsOf: completeAsOf, ContinuousSince: t.Evidence().ContinuousSince,
 	}
 	drifted := have.Revision == view.Revision && have.Digest != view.Digest
 	if p.Changes = changes; !known || !kept || drifted {
@@ -210,6 +216,8 @@
 			return nil
 		case err := <-f.receiveErr:
 			return err
+		case <-f.configuration.ended:
+			return errEnded
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/configuration/sourcemanager.go
+++ b/configuration/sourcemanager.go
@@ -35,6 +35,7 @@
 	for {
 		m.recordProgress()
 		inputs := m.configuration.sourceInputs()
+		m.configuration.lone.Store(inputs.position.lone)
 		m.updateWatch(ctx, inputs)
 		if inputs.subscribe() {
 			m.updateSubscriptions(ctx, inputs)
@@ -68,6 +69,8 @@
 		ctx, cancel := context.WithCancel(ctx)
 		m.stopWatch = cancel
 		m.configuration.watching.Store(true)
+		m.configuration.log.WithField("rank", inputs.position.rank).WithField("peers", len(inputs.position.candidates)).
+			WithField("peerEvidenceAge", inputs.since(inputs.peerEvidence).String()).Info("starting to watch the store")
 		m.watching.Go(func() { m.configuration.watch(ctx) })
 	case !wanted && m.stopWatch != nil:
 		m.endWatch()
@@ -80,6 +83,7 @@
 		m.watching.Wait()
 		m.stopWatch = nil
 		m.configuration.watching.Store(false)
+		m.configuration.log.Info("no longer watching the store")
 	}
 }
 
--- a/configuration/sourceselection.go
+++ b/configuration/sourceselection.go
@@ -17,7 +17,7 @@
 	// staleAfter is the age of evidence above which another source is tried.
 	staleAfter = 2 * time.Second
 	// freshnessTimeout is how long a new subscription may take to deliver fresh evidence.
-	freshnessTimeout = time.Second
+	freshnessTimeout = 400 * time.Millisecond
 	// exclusionTime is how long a candidate is excluded after its subscription failed or was stale.
 	exclusionTime = 3 * time.Second
 	// rankDelay is the delay by rank with which entry processes start to watch the store when no
@@ -32,7 +32,11 @@
 type sourceInputs struct {
 	now       knapweedpulley.Instant
 	startedAt knapweedpulley.Instant
-	position  treePosition
+	// storeFailing is set while the last call to the store for a collection has failed.
+	storeFailing bool
+	// maxTurn bounds the delays that grow with the rank.
+	maxTurn  time.Duration
+	position treePosition
 	// storeEvidence is the oldest evidence of a collection that came directly from the store,
 	// peerEvidence the evidence that came from a peer.
 	storeEvidence knapweedpulley.Instant
@@ -58,21 +62,22 @@
 	if stale <= staleAfter {
 		return false
 	}
-	turn := time.Duration(s.position.rank-watchersPerZone) * rankDelay
+	turn := min(s.maxTurn, time.Duration(s.position.rank-watchersPerZone)*rankDelay)
 	return s.since(s.lastPeerUpdate) > staleAfter || stale > staleAfter+turn
 }
 
 // subscribe reports whether the entry process subscribes to a peer. The watchers of the zone do so
-// only while the store does not answer them.
+// only while the store does not answer them. It may turn away all watchers of a zone and serve
+// those of another.
 func (s sourceInputs) subscribe() bool {
-	return !s.position.watchesStore() || s.since(s.storeEvidence) > staleAfter
+	return !s.position.watchesStore() || s.storeFailing || s.since(s.storeEvidence) > staleAfter
 }
 
 // storePause returns the pause after a failed call to the store. It grows with the rank, so that
 // during an outage the total call rate of all entry processes grows only with the logarithm of
 // their number.
 func (s sourceInputs) storePause() time.Duration {
-	return max(heartbeatPeriod, time.Duration(s.position.rank)*rankDelay)
+	return max(heartbeatPeriod, min(s.maxTurn, time.Duration(s.position.rank)*rankDelay))
 }
 
 // sourceSelector selects the peer to subscribe to and excludes candidates that failed recently.
--- a/configuration/startup.go
+++ b/configuration/startup.go
@@ -25,7 +25,7 @@
 func (c *Configuration) signalWhenReady(ctx context.Context) {
 	deadline := c.clock.Now().Add(startupGracePeriod)
 	for ctx.Err() == nil {
-		if c.loaded() && c.Age() <= staleAfter {
+		if c.loaded() && c.fresh() {
 			break
 		}
 		if c.clock.Now().After(deadline) && c.pullFromPeers(ctx) && c.loaded() {
--- a/configuration/subscription.go
+++ b/configuration/subscription.go
@@ -138,9 +138,14 @@
 		if p.CompleteAsOf != 0 {
 			p.CompleteAsOf = s.remoteClock.toLocal(p.CompleteAsOf, now)
 		}
+		if p.ContinuousSince != 0 {
+			p.ContinuousSince = s.remoteClock.toLocal(p.ContinuousSince, now)
+		}
 		s.applyPart(p)
 	}
-	s.seen.Add(1)
+	if s.seen.Add(1) == 1 {
+		s.configuration.log.WithField("peer", s.peer.Address).Info("replicating the store from a peer")
+	}
 	s.lastUpdate.Store(int64(now))
 	s.evidence.Store(int64(s.oldestEvidence()))
 	s.configuration.refreshed.broadcast()
@@ -153,11 +158,12 @@
 		return
 	}
 	before := t.View()
+	evidence := Evidence{CompleteAsOf: p.CompleteAsOf, ContinuousSince: p.ContinuousSince}
 	applied := true
 	if p.Full {
-		t.Replace(objectsOf(p.Changes), p.Revision, p.CompleteAsOf)
+		t.Replace(objectsOf(p.Changes), p.Revision, evidence)
 	} else {
-		applied = t.Advance(p.From, p.Changes, p.Revision, p.CompleteAsOf)
+		applied = t.Advance(p.From, p.Changes, p.Revision, evidence)
 	}
 	after := t.View()
 	drifted := after.Revision == p.Revision && after.Digest != p.Digest
@@ -192,12 +198,16 @@
 	s.resyncKinds.Store(&next)
 }
 
-// oldestEvidence returns the oldest evidence that the peer has sent for a collection, or zero if it
-// has sent none for one of them.
+// oldestEvidence returns the oldest evidence that the peer has sent for a collection, put off by
+// staleTolerance, or zero if it has sent none for one of them.
 func (s *subscription) oldestEvidence() knapweedpulley.Instant {
 	var oldestEvidence knapweedpulley.Instant
 	for i, t := range s.configuration.tables {
-		if e := s.collectionEvidence[t.kind]; i == 0 || e < oldestEvidence {
+		e := s.collectionEvidence[t.kind]
+		if e != 0 {
+			e = e.Add(staleTolerance(t.watchWait))
+		}
+		if i == 0 || e < oldestEvidence {
 			oldestEvidence = e
 		}
 	}
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
 )
@@ -15,15 +16,50 @@
 	maxLogChanges = 1024
 	// maxLogBytes bounds the total size of the values in the kept changes.
 	maxLogBytes = int(4 * knapweedpulley.MiB)
+	// outageGap is the gap in the evidence from which on the store counts as having been down. It
+	// is longer than the time in which a process finds another source when its own fail.
+	outageGap = 3 * time.Second
 )
 
+// Evidence says how complete the content of a collection is.
+type Evidence struct {
+	// CompleteAsOf is an instant. The content contains all writes that the store accepted before
+	// it. It is zero if there is no evidence.
+	CompleteAsOf knapweedpulley.Instant
+	// ContinuousSince is the instant since which evidence has advanced without a gap longer than
+	// outageGap. It is the end of the last outage of the store that lasted longer, and zero if
+	// none is known of.
+	ContinuousSince knapweedpulley.Instant
+}
+
+// merge returns the evidence after evidence has arrived from the store or from a peer.
+func (e Evidence) merge(other Evidence) Evidence {
+	merged := Evidence{CompleteAsOf: max(e.CompleteAsOf, other.CompleteAsOf), ContinuousSince: e.ContinuousSince}
+	newer := other.CompleteAsOf > e.CompleteAsOf
+	switch {
+	case e.CompleteAsOf == 0 || other.ContinuousSince.After(e.CompleteAsOf.Add(outageGap)):
+		merged.ContinuousSince = other.ContinuousSince
+	case newer && other.ContinuousSince != 0 && other.ContinuousSince < e.ContinuousSince:
+		// The peer has seen more of the time before: the outage ended earlier, or it was none of
+		// the store but of the connections to it.
+		merged.ContinuousSince = other.ContinuousSince
+	}
+	return merged
+}
+
 // Table holds the newest known content of one collection.
 type Table struct {
 	kind knapweedpulley.Kind
 	// trim returns the part of a stored value that is kept. Nil keeps the whole value.
-	trim     func([]byte) []byte
-	view     atomic.Pointer[View]
-	evidence atomic.Int64
+	trim func([]byte) []byte
+	// watchWait, loneWatchWait and watchInterval are those of the collection.
+	watchWait     time.Duration
+	loneWatchWait time.Duration
+	watchInterval time.Duration
+	view          atomic.Pointer[View]
+	// completeAsOf and continuousSince are the current evidence.
+	completeAsOf    atomic.Int64
+	continuousSince atomic.Int64
 	// mu serializes the writers and guards the change log.
 	mu sync.Mutex
 	// changeLog holds all changes after logStart, as they are sent.
@@ -36,7 +72,11 @@
 
 // newTable returns a table whose content is unknown.
 func newTable(c Collection) *Table {
-	t := &Table{kind: c.Kind, trim: c.Trim, notify: c.Apply}
+	wait := cmp.Or(c.WatchWait, defaultWatchWait)
+	t := &Table{
+		kind: c.Kind, trim: c.Trim, notify: c.Apply,
+		watchWait: wait, loneWatchWait: cmp.Or(c.LoneWatchWait, wait), watchInterval: c.WatchInterval,
+	}
 	t.view.Store(&View{changed: make(chan struct{})})
 	return t
 }
@@ -46,10 +86,19 @@
 	return t.view.Load()
 }
 
-// Evidence returns an instant. The content contains all writes that the store accepted before it.
-// It is zero if there is no evidence.
-func (t *Table) Evidence() knapweedpulley.Instant {
-	return knapweedpulley.Instant(t.evidence.Load())
+// Evidence returns how complete the content is.
+func (t *Table) Evidence() Evidence {
+	return Evidence{
+		CompleteAsOf:    knapweedpulley.Instant(t.completeAsOf.Load()),
+		ContinuousSince: knapweedpulley.Instant(t.continuousSince.Load()),
+	}
+}
+
+// staleTolerance returns how much older evidence may be with the given wait of a watch than with
+// the default one. Evidence counts from the sending of an answered request, so it is up to two
+// waits old before the next answer.
+func staleTolerance(wait time.Duration) time.Duration {
+	return 2 * max(0, wait-defaultWatchWait)
 }
 
 // State describes the current content. It returns false if the content is unknown.
@@ -61,7 +110,7 @@
 // Replace replaces the content with a whole collection that is complete up to revision. It has no
 // effect if the table has a newer revision.
 func (t *Table) Replace(
-	objects []knapweedpulley.Object, revision knapweedpulley.Revision, evidence knapweedpulley.Instant,
+	objects []knapweedpulley.Object, revision knapweedpulley.Revision, evidence Evidence,
 ) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -73,15 +122,17 @@
 	for _, o := range objects {
 		next[o.Name] = o
 	}
+	merged := t.Evidence().merge(evidence)
+	t.continuousSince.Store(int64(merged.ContinuousSince))
 	t.publish(next, difference(old.Objects, next, revision), revision, !old.Loaded)
-	t.advanceEvidence(evidence)
+	t.completeAsOf.Store(int64(merged.CompleteAsOf))
 }
 
 // Advance applies the changes after revision from, up to revision to. It returns false if the table
 // lacks the content that the changes build on.
 func (t *Table) Advance(
 	from knapweedpulley.Revision, changes []knapweedpulley.ConfigurationChange, to knapweedpulley.Revision,
-	evidence knapweedpulley.Instant,
+	evidence Evidence,
 ) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -89,14 +140,19 @@
 	if !old.Loaded || from > old.Revision {
 		return false
 	}
+	// The owner may need to know of an outage when it is notified of the changes after it. The
+	// content must be published before the evidence for it.
+	merged := t.Evidence().merge(evidence)
 	if to > old.Revision {
 		fresh, next, ok := applyChanges(old, changes)
 		if !ok {
 			return false
 		}
+		t.continuousSince.Store(int64(merged.ContinuousSince))
 		t.publish(next, fresh, to, false)
 	}
-	t.advanceEvidence(evidence)
+	t.continuousSince.Store(int64(merged.ContinuousSince))
+	t.completeAsOf.Store(int64(merged.CompleteAsOf))
 	return true
 }
 
@@ -170,12 +226,6 @@
 	}
 }
 
-func (t *Table) advanceEvidence(evidence knapweedpulley.Instant) {
-	if int64(evidence) > t.evidence.Load() {
-		t.evidence.Store(int64(evidence))
-	}
-}
-
 // applyChanges returns the changes that a view lacks, with their full values, and the objects that
 // result from them. It returns false if the value that a patch is based on is missing.
 func applyChanges(
--- a/configuration/table_test.go
+++ b/configuration/table_test.go
@@ -37,9 +37,9 @@
 // loadedTable returns a table with the content after the first n changes.
 func loadedTable(changes []knapweedpulley.Change, n int) *Table {
 	t := newTable(Collection{Kind: knapweedpulley.KindPermits, Apply: func([]knapweedpulley.Change) {}})
-	t.Replace(nil, 0, 1)
+	t.Replace(nil, 0, Evidence{CompleteAsOf: 1})
 	if n > 0 {
-		t.Advance(0, withFullValues(changes[:n]), knapweedpulley.Revision(n), 1)
+		t.Advance(0, withFullValues(changes[:n]), knapweedpulley.Revision(n), Evidence{CompleteAsOf: 1})
 	}
 	return t
 }
@@ -47,7 +47,7 @@
 // sentBetween returns the changes between two revisions in the form in which a source sends them.
 func sentBetween(changes []knapweedpulley.Change, from, to int) []knapweedpulley.ConfigurationChange {
 	source := loadedTable(changes, from)
-	source.Advance(knapweedpulley.Revision(from), withFullValues(changes[from:to]), knapweedpulley.Revision(to), 1)
+	source.Advance(knapweedpulley.Revision(from), withFullValues(changes[from:to]), knapweedpulley.Revision(to), Evidence{CompleteAsOf: 1})
 	sent, _, _ := source.Since(knapweedpulley.Revision(from))
 	return sent
 }
@@ -72,10 +72,10 @@
 			before := table.View().Revision
 			if random.IntN(3) == 0 {
 				whole := loadedTable(changes, to).View()
-				table.Replace(objectsOf(withFullValues(difference(nil, whole.Objects, whole.Revision))), whole.Revision, 1)
+				table.Replace(objectsOf(withFullValues(difference(nil, whole.Objects, whole.Revision))), whole.Revision, Evidence{CompleteAsOf: 1})
 			} else {
 				d := increment{knapweedpulley.Revision(from), knapweedpulley.Revision(to), sentBetween(changes, from, to)}
-				table.Advance(d.from, d.changes, d.to, 1)
+				table.Advance(d.from, d.changes, d.to, Evidence{CompleteAsOf: 1})
 			}
 			after := table.View()
 			if after.Revision < before {
@@ -90,18 +90,18 @@
 	changes := history(rand.New(rand.NewPCG(3, 4)), 10)
 	t.Run("an increment with a gap is refused", func(t *testing.T) {
 		table := loadedTable(changes, 3)
-		is.New(t).True(!table.Advance(4, withFullValues(changes[4:]), 10, 9))
+		is.New(t).True(!table.Advance(4, withFullValues(changes[4:]), 10, Evidence{CompleteAsOf: 9}))
 		assertSameContent(t, table.View(), loadedTable(changes, 3).View())
-		is.New(t).Equal(table.Evidence(), knapweedpulley.Instant(1))
+		is.New(t).Equal(table.Evidence().CompleteAsOf, knapweedpulley.Instant(1))
 	})
 	t.Run("kept changes bring a subscriber up to date", func(t *testing.T) {
 		is := is.New(t)
 		table := loadedTable(changes, 3)
-		table.Replace(objectsOf(withFullValues(difference(nil, loadedTable(changes, 10).View().Objects, 10))), 10, 1)
+		table.Replace(objectsOf(withFullValues(difference(nil, loadedTable(changes, 10).View().Objects, 10))), 10, Evidence{CompleteAsOf: 1})
 		since, _, kept := table.Since(3)
 		is.True(kept)
 		other := loadedTable(changes, 3)
-		is.True(other.Advance(3, since, 10, 1))
+		is.True(other.Advance(3, since, 10, Evidence{CompleteAsOf: 1}))
 		assertSameContent(t, other.View(), table.View())
 	})
 	t.Run("changes that are no longer kept are reported as missing", func(t *testing.T) {
@@ -114,14 +114,14 @@
 	})
 	t.Run("content with a different digest is replaced at the same revision", func(t *testing.T) {
 		good, drifted := loadedTable(changes, 10), loadedTable(changes, 9)
-		drifted.Advance(9, nil, 10, 1)
+		drifted.Advance(9, nil, 10, Evidence{CompleteAsOf: 1})
 		c := cursor{}
 		state, _ := drifted.State()
 		c.applyPing(receivedPing{knapweedpulley.ConfigurationPing{Have: []knapweedpulley.ConfigurationState{state}}, 1})
 		is.New(t).True(c.behind(good))
 		p, _ := c.part(good)
 		is.New(t).True(p.Full)
-		drifted.Replace(objectsOf(p.Changes), p.Revision, 1)
+		drifted.Replace(objectsOf(p.Changes), p.Revision, Evidence{CompleteAsOf: 1})
 		assertSameContent(t, drifted.View(), good.View())
 	})
 }
@@ -255,3 +255,57 @@
 		assertChoice(t, c, 9, "b")
 	})
 }
+
+func assertEvidence(t *testing.T, got Evidence, completeAsOf, continuousSince time.Duration) {
+	t.Helper()
+	is.New(t).Equal(got, evidenceAt(completeAsOf, continuousSince))
+}
+
+// evidenceAt returns evidence with times since an arbitrary start.
+func evidenceAt(completeAsOf, continuousSince time.Duration) Evidence {
+	return Evidence{CompleteAsOf: knapweedpulley.Instant(completeAsOf), ContinuousSince: knapweedpulley.Instant(continuousSince)}
+}
+
+func TestEvidence(t *testing.T) {
+	const s = time.Second
+	t.Run("answers at short intervals are continuous", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 0).merge(evidenceAt(11*s, 11*s)), 11*s, 0)
+	})
+	t.Run("an answer after a long gap ends an outage", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 0).merge(evidenceAt(14*s, 14*s)), 14*s, 14*s)
+	})
+	t.Run("the evidence of a peer that the store answered all the while shows that there was no outage", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 0).merge(evidenceAt(15*s, 2*s)), 15*s, 0)
+		assertEvidence(t, evidenceAt(10*s, 9*s).merge(evidenceAt(15*s, 2*s)), 15*s, 2*s)
+	})
+	t.Run("a peer that saw the store come back earlier is believed", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 10*s).merge(evidenceAt(11*s, 8*s)), 11*s, 8*s)
+	})
+	t.Run("a peer that knows nothing of the time before changes nothing", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 9*s).merge(evidenceAt(11*s, 0)), 11*s, 9*s)
+	})
+	t.Run("the end of an outage that a peer saw is taken over", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 0).merge(evidenceAt(15*s, 14*s)), 15*s, 14*s)
+	})
+	t.Run("the first evidence is taken over", func(t *testing.T) {
+		assertEvidence(t, Evidence{}.merge(evidenceAt(15*s, 14*s)), 15*s, 14*s)
+	})
+	t.Run("an outage that a peer has seen is known before its newer evidence arrives", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 0).merge(evidenceAt(9*s, 15*s)), 10*s, 15*s)
+	})
+	t.Run("older evidence changes nothing", func(t *testing.T) {
+		assertEvidence(t, evidenceAt(10*s, 2*s).merge(evidenceAt(9*s, 9*s)), 10*s, 2*s)
+	})
+	t.Run("a table is notified of changes after an outage with its end already known", func(t *testing.T) {
+		var table *Table
+		var at []Evidence
+		table = newTable(Collection{Kind: knapweedpulley.KindPermits, Apply: func([]knapweedpulley.Change) { at = append(at, table.Evidence()) }})
+		table.Replace(nil, 1, evidenceAt(10*s, 0))
+		change := knapweedpulley.Change{Object: knapweedpulley.Object{Kind: knapweedpulley.KindPermits, Name: "m", Revision: 2}}
+		is.New(t).True(table.Advance(1, withFullValues([]knapweedpulley.Change{change}), 2, evidenceAt(20*s, 20*s)))
+		is.New(t).Equal(len(at), 1)
+		// The content of the view is still the older one, so its evidence is, too.
+		assertEvidence(t, at[0], 10*s, 20*s)
+		assertEvidence(t, table.Evidence(), 20*s, 20*s)
+	})
+}
--- a/configuration/treeposition.go
+++ b/configuration/treeposition.go
@@ -24,6 +24,8 @@
 type treePosition struct {
 	// rank is the zero-based rank within the zone. The first watchersPerZone ranks watch the store.
 	rank int
+	// lone is set if all entry processes of the zone watch the store.
+	lone bool
 	// candidates are the entry processes to subscribe to, in order of preference.
 	candidates []knapweedpulley.Member
 }
@@ -39,12 +41,18 @@
 func positionOf(self knapweedpulley.Member, peers []knapweedpulley.Member) treePosition {
 	zone, others := rankEntries(self, peers)
 	rank := slices.IndexFunc(zone, func(m knapweedpulley.Member) bool { return m.Address == self.Address })
-	p := treePosition{rank: rank}
+	p := treePosition{rank: rank, lone: len(zone) <= watchersPerZone}
 	for _, i := range candidateRanks(rank) {
 		if i < len(zone) {
 			p.candidates = append(p.candidates, zone[i])
 		}
 	}
+	if p.watchesStore() {
+		// If the store turns away this watcher, it may turn away the other one of the zone as well,
+		// and the rest of the zone depends on them.
+		p.candidates = slices.Concat(others, p.candidates)
+		return p
+	}
 	p.candidates = append(p.candidates, others...)
 	return p
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -30,13 +30,17 @@
 func (e *Entry) startWatching(ctx context.Context) {
 	e.fleet = endpoint.NewFleet(e.settings.Zone, zone.NewDistances(e.settings.Distances))
 	e.departures = endpoint.NewDepartures(e.clock)
+	// The subscriptions have connections of their own, because they close those that have stopped
+	// delivering data.
+	feeds, closeFeeds := link.NewConnections(e.certificates.ClientCredentials())
+	e.addCleanup(closeFeeds)
 	var cleanup knapweedpulley.Cleanup
 	e.configuration, cleanup = configuration.New(configuration.Options{
 		Self:      e.self,
 		Clock:     e.clock,
 		Objects:   e.objects,
 		Peers:     e.machineList,
-		Link:      link.NewConfigurationClient(e.connections),
+		Link:      link.NewConfigurationClient(feeds),
 		Directory: e.directory,
 		Log:       e.log,
 		Collections: []configuration.Collection{
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,7 +6,7 @@
 	"github.com/knapweedpulley/knapweedpulley"
 )
 
-// Peers implements knapweedpulley.Group for the gateways that are currently known.
+// Peers implements knapweedpulley.Group and knapweedpulley.PeerList for the gateways that are currently known.
 type Peers struct {
 	self    knapweedpulley.Member
 	members atomic.Pointer[[]knapweedpulley.Member]
@@ -24,6 +24,11 @@
 	p.members.Store(&list)
 }
 
+// Peers implements knapweedpulley.PeerList.
+func (p *Peers) Peers() []knapweedpulley.Member {
+	return p.Members()
+}
+
 // Self implements knapweedpulley.Group.
 func (p *Peers) Self() knapweedpulley.Member {
 	return p.self
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -76,8 +76,10 @@
 		_, err = objects.Put(t.Context(), kind, knapweedpulley.MainInstallation, data, 0)
 		is.NoErr(err)
 	}
-	follower, closeFollower := installation.NewFollower(objects, installationfake.InstallationDecoder{}, clock, logger,
-		func(*installation.Snapshot) {}, f.Update)
+	follower, closeFollower := installation.NewFollower(installation.Options{
+		Objects: objects, Decoder: installationfake.InstallationDecoder{}, Clock: clock, Log: logger,
+		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.Update,
+	})
 	t.Cleanup(func() {
 		closeFollower()
 		closePlacer()
--- a/installation/fake/decoder.go
+++ b/installation/fake/decoder.go
@@ -3,8 +3,7 @@
 //
 // # Usage
 //
-//	follower, cleanup := installation.NewFollower(
-//		objects, fake.InstallationDecoder{}, clock, log, onConfiguration, onEndpoints)
+//	follower, cleanup := installation.NewFollower(installation.Options{Decoder: fake.InstallationDecoder{}, …})
 package fake
 
 import (
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -1,23 +1,27 @@
-// Package installation watches the configuration and the endpoint registrations
+// Package installation follows the configuration and the endpoint registrations
 // of an installation in the platform's store. It decides for the gateway which
 // configuration is in force and which endpoints are usable, and admits calls by
 // their route and key.
 //
-// A [Follower] keeps the newest configuration that it has received and ignores
-// older ones. During a store outage it keeps the last known state. An endpoint
-// whose registration vanished in an outage stays usable for a grace period after
-// the outage, within which running endpoints register again. A [Snapshot] is one
-// version of the configuration, and admits calls.
+// A [Follower] replicates both collections with package configuration: a few
+// gateways in each zone watch the store, the others subscribe to them. It keeps
+// the newest configuration that it has received and ignores older ones. During a
+// store outage it keeps the last known state. An endpoint whose registration
+// vanished in an outage stays usable for a grace period after the outage, within
+// which running endpoints register again. A [Snapshot] is one version of the
+// configuration, and admits calls.
 //
 // # Usage
 //
-//	follower, cleanup := installation.NewFollower(objects, translator, clock, log, configure, fleet.Update)
+//	follower, cleanup := installation.NewFollower(installation.Options{
+//		Self: self, Peers: peers, Link: links, Objects: objects, Decoder: decoder, Clock: clock, Log: log,
+//		OnConfiguration: configure, OnEndpoints: fleet.Update,
+//	})
 //	defer cleanup()
 //	snapshot, known := follower.Current()
 package installation
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,71 +30,100 @@
 	"github.com/apex/log"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/configuration"
 	"github.com/knapweedpulley/knapweedpulley/machine"
 )
 
-// reregistrationGrace is how long after a store outage endpoints may take to
-// register again if their registrations lapsed. They need up to 2 s.
-const reregistrationGrace = 2200 * time.Millisecond
+const (
+	// reregistrationGrace is how long after a store outage endpoints may take to
+	// register again if their registrations lapsed. They need up to 2 s.
+	reregistrationGrace = 2200 * time.Millisecond
+	// installationWatchWait is how long a watch of the configuration waits for
+	// changes, which are rare.
+	installationWatchWait = time.Second
+	// loneWatchWait is how long a watch waits while all gateways of the zone watch the
+	// store, so that none depends on how old the evidence of another is. A connection that has stopped delivering data is noticed
+	// only after this time.
+	loneWatchWait = 2 * time.Second
+	// maxTurn bounds how long a gateway whose sources have no fresh content waits until
+	// it watches the store itself. The store may turn away all watchers of a zone and
+	// serve the other gateways.
+	maxTurn = 400 * time.Millisecond
+	// endpointWatchInterval is the time between two watches of the endpoints. That
+	// collection changes all the time, because each endpoint updates its
+	// registration about once per second, and the interval limits the number of
+	// calls to the store, since each of them is paid for.
+	endpointWatchInterval = 500 * time.Millisecond
+)
+
+// Options holds the dependencies of a follower.
+type Options struct {
+	// Self is the gateway itself. Peers lists the gateways that are known.
+	Self  knapweedpulley.Member
+	Peers knapweedpulley.PeerList
+	// Link connects to the followers of other gateways.
+	Link    knapweedpulley.ConfigurationLink
+	Objects knapweedpulley.ObjectStore
+	Decoder knapweedpulley.InstallationDecoder
+	Clock   knapweedpulley.Clock
+	Log     log.Interface
+	// OnConfiguration gets each configuration that comes into force.
+	OnConfiguration func(*Snapshot)
+	// OnEndpoints gets all usable endpoints after each change.
+	OnEndpoints func([]knapweedpulley.RegisteredEndpoint)
+}
 
 // Follower keeps a copy of one installation's configuration and endpoints up to
-// date.
+// date. As a knapweedpulley.ConfigurationSource it serves the followers of other
+// gateways.
 type Follower struct {
+	*configuration.Configuration
 	decoder         knapweedpulley.InstallationDecoder
 	clock           knapweedpulley.Clock
 	log             log.Interface
 	onEndpoints     func([]knapweedpulley.RegisteredEndpoint)
 	current         atomic.Pointer[Snapshot]
-	endpointsListed atomic.Bool
 	onConfiguration func(*Snapshot)
 
 	mu        sync.Mutex
 	endpoints map[knapweedpulley.EndpointID]knapweedpulley.RegisteredEndpoint
-	// missingSince holds the endpoints whose registrations vanished but may come
-	// back, with the time when they vanished.
-	missingSince map[knapweedpulley.EndpointID]knapweedpulley.Instant
-	// storeDown is set while calls to the store fail. storeRegainedAt is when the
-	// last outage ended.
-	storeDown       bool
-	storeRegainedAt knapweedpulley.Instant
+	// missing holds the endpoints whose registrations vanished but may come back.
+	missing knapweedpulley.Set[knapweedpulley.EndpointID]
 }
 
-// NewFollower starts to watch an installation. OnConfiguration gets each
-// configuration that comes into force, onEndpoints gets all usable endpoints after
-// each change. The clean-up stops watching.
-func NewFollower(
-	objects knapweedpulley.ObjectStore, decoder knapweedpulley.InstallationDecoder, clock knapweedpulley.Clock,
-	log log.Interface, onConfiguration func(*Snapshot), onEndpoints func([]knapweedpulley.RegisteredEndpoint),
-) (*Follower, knapweedpulley.Cleanup) {
+// NewFollower starts to follow an installation. The clean-up stops that.
+func NewFollower(o Options) (*Follower, knapweedpulley.Cleanup) {
 	f := &Follower{
-		decoder:         decoder,
-		clock:           clock,
-		log:             log,
-		onEndpoints:     onEndpoints,
-		onConfiguration: onConfiguration,
+		decoder:         o.Decoder,
+		clock:           o.Clock,
+		log:             o.Log,
+		onEndpoints:     o.OnEndpoints,
+		onConfiguration: o.OnConfiguration,
 		endpoints:       make(map[knapweedpulley.EndpointID]knapweedpulley.RegisteredEndpoint),
-		missingSince:    make(map[knapweedpulley.EndpointID]knapweedpulley.Instant),
-		storeRegainedAt: clock.Now().Add(-reregistrationGrace),
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	configuration := &collectionWatcher{
-		store: objects, kind: knapweedpulley.KindInstallation, log: log,
-		onReplace: f.replaceConfiguration, onChanges: f.changeConfiguration,
-		onStoreLost: func() {}, onStoreRegained: func() {},
+		missing:         make(knapweedpulley.Set[knapweedpulley.EndpointID]),
 	}
-	endpoints := &collectionWatcher{
-		store: objects, kind: knapweedpulley.KindEndpoints, log: log,
-		onReplace: f.replaceEndpoints, onChanges: f.changeEndpoints,
-		onStoreLost: f.storeLost, onStoreRegained: f.storeRegained, watchInterval: endpointWatchInterval,
-	}
-	running.Go(func() { configuration.run(ctx) })
-	running.Go(func() { endpoints.run(ctx) })
-	stop := machine.Every(reregistrationGrace/4, f.removeMissing)
+	// Changes of the endpoints may arrive before New returns. They need the
+	// Configuration, and wait for mu until it is set.
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	replica, stopReplica := configuration.New(configuration.Options{
+		Self: o.Self, Clock: o.Clock, Objects: o.Objects, Peers: o.Peers, Link: o.Link, Log: o.Log, MaxTurn: maxTurn,
+		Collections: []configuration.Collection{
+			{
+				Kind: knapweedpulley.KindInstallation, Apply: f.changeConfiguration,
+				WatchWait: installationWatchWait, LoneWatchWait: loneWatchWait,
+			},
+			{
+				Kind: knapweedpulley.KindEndpoints, Apply: f.changeEndpoints,
+				LoneWatchWait: loneWatchWait, WatchInterval: endpointWatchInterval,
+			},
+		},
+	})
+	f.Configuration = replica
+	stopRemoval := machine.Every(reregistrationGrace/4, f.removeMissing)
 	return f, func() {
-		cancel()
-		running.Wait()
-		stop()
+		stopReplica()
+		stopRemoval()
 	}
 }
 
@@ -100,16 +133,10 @@
 	return s, s != nil
 }
 
-// Ready reports whether a configuration is in force and the endpoints have been
+// Usable reports whether a configuration is in force and the endpoints have been
 // listed.
-func (f *Follower) Ready() bool {
-	return f.current.Load() != nil && f.endpointsListed.Load()
-}
-
-func (f *Follower) replaceConfiguration(l knapweedpulley.Listing) {
-	for _, o := range l.Objects {
-		f.applyConfiguration(o)
-	}
+func (f *Follower) Usable() bool {
+	return f.current.Load() != nil && f.View(knapweedpulley.KindEndpoints).Loaded
 }
 
 // changeConfiguration applies only the newest configuration that can be decoded,
@@ -145,36 +172,6 @@
 	return true
 }
 
-func (f *Follower) storeLost() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.storeDown = true
-}
-
-func (f *Follower) storeRegained() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.storeDown = false
-	f.storeRegainedAt = f.clock.Now()
-}
-
-func (f *Follower) replaceEndpoints(l knapweedpulley.Listing) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	seen := make(knapweedpulley.Set[knapweedpulley.EndpointID], len(l.Objects))
-	for _, o := range l.Objects {
-		seen.Add(knapweedpulley.EndpointID(o.Name))
-		f.registerEndpoint(o)
-	}
-	for id := range f.endpoints {
-		if !seen.Has(id) {
-			f.removeEndpoint(id)
-		}
-	}
-	f.publishEndpoints()
-	f.endpointsListed.Store(true)
-}
-
 func (f *Follower) changeEndpoints(changes []knapweedpulley.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -192,7 +189,7 @@
 // invalid, it removes the endpoint. The caller holds mu.
 func (f *Follower) registerEndpoint(o knapweedpulley.Object) {
 	id := knapweedpulley.EndpointID(o.Name)
-	delete(f.missingSince, id)
+	f.missing.Remove(id)
 	e, err := f.decoder.Endpoint(id, o.Value)
 	if err != nil {
 		f.log.WithField("endpoint", id).WithField("revision", o.Revision).WithError(err).Warn("invalid endpoint registration, not using the endpoint")
@@ -212,16 +209,11 @@
 // back: its endpoint is kept, unless it is draining. The caller holds mu.
 func (f *Follower) removeEndpoint(id knapweedpulley.EndpointID) {
 	e, known := f.endpoints[id]
-	if !known {
+	if !known || f.missing.Has(id) {
 		return
 	}
-	now := f.clock.Now()
-	inOutage := f.storeDown || now.Sub(f.storeRegainedAt) < reregistrationGrace
-	if _, waiting := f.missingSince[id]; waiting {
-		return
-	}
-	if inOutage && !e.Draining {
-		f.missingSince[id] = now
+	if f.afterOutage() && !e.Draining {
+		f.missing.Add(id)
 		f.log.WithField("endpoint", id).Info("endpoint registration vanished in a store outage, keeping the endpoint for now")
 		return
 	}
@@ -229,17 +221,24 @@
 	f.log.WithField("endpoint", id).Info("endpoint removed")
 }
 
+// afterOutage reports whether the store has been answering again for less than the
+// grace period. Changes only arrive while it answers.
+func (f *Follower) afterOutage() bool {
+	since := f.Evidence(knapweedpulley.KindEndpoints).ContinuousSince
+	return since != 0 && f.clock.Now().Sub(since) < reregistrationGrace
+}
+
 // removeMissing removes the endpoints that did not register again within the grace
 // period after an outage.
 func (f *Follower) removeMissing() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	if f.storeDown || now.Sub(f.storeRegainedAt) < reregistrationGrace || len(f.missingSince) == 0 {
+	age := f.clock.Now().Sub(f.Evidence(knapweedpulley.KindEndpoints).CompleteAsOf)
+	if len(f.missing) == 0 || f.afterOutage() || age > reregistrationGrace {
 		return
 	}
-	for id := range f.missingSince {
-		delete(f.missingSince, id)
+	for id := range f.missing {
+		f.missing.Remove(id)
 		delete(f.endpoints, id)
 		f.log.WithField("endpoint", id).Info("endpoint removed, as it did not register again after the store outage")
 	}
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -39,8 +39,11 @@
 }
 
 func (f *fixture) start() {
-	follower, cleanup := installation.NewFollower(f.store, installationfake.InstallationDecoder{}, fake.Clock{},
-		logbook.New(io.Discard, log.InfoLevel, "test", "test"), func(*installation.Snapshot) {}, f.apply)
+	follower, cleanup := installation.NewFollower(installation.Options{
+		Objects: f.store, Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
+		Log:             logbook.New(io.Discard, log.InfoLevel, "test", "test"),
+		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.apply,
+	})
 	f.follower = follower
 	f.t.Cleanup(cleanup)
 	synctest.Wait()
@@ -134,10 +137,10 @@
 	runWithFakeTime("a follower is not ready before the first configuration", t, func(t *testing.T, f *fixture) {
 		f.start()
 		f.assertVersion(0)
-		is.New(t).True(!f.follower.Ready())
+		is.New(t).True(!f.follower.Usable())
 		f.configure(3)
 		f.assertVersion(3)
-		is.New(t).True(f.follower.Ready())
+		is.New(t).True(f.follower.Usable())
 	})
 	runWithFakeTime("an older version is ignored", t, func(_ *testing.T, f *fixture) {
 		f.start()
@@ -220,6 +223,13 @@
 		f.remove("a")
 		f.assertUses("a", false)
 	})
+	runWithFakeTime("an endpoint whose registration vanishes after a time without changes is removed at once", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.register("a")
+		time.Sleep(time.Minute)
+		f.remove("a")
+		f.assertUses("a", false)
+	})
 	runWithFakeTime("endpoints whose registrations lapse in an outage are kept for the grace period after it", t,
 		func(_ *testing.T, f *fixture) {
 			f.start()
--- a/link/configuration.go
+++ b/link/configuration.go
@@ -31,9 +31,10 @@
 	}
 	stream, err := linkpb.NewConfigurationServiceClient(conn).Subscribe(ctx)
 	if err != nil {
+		c.connections.Discard(to.Address)
 		return nil, errors.Wrapf(err, "subscribe to %s", to.Address)
 	}
-	return subscriberStream{stream}, nil
+	return subscriberStream{stream, func() { c.connections.Discard(to.Address) }}, nil
 }
 
 // Await implements knapweedpulley.ConfigurationLink.
@@ -55,7 +56,8 @@
 
 // subscriberStream is the subscriber's side of a subscription.
 type subscriberStream struct {
-	stream grpc.BidiStreamingClient[linkpb.ConfigurationPing, linkpb.ConfigurationUpdate]
+	stream          grpc.BidiStreamingClient[linkpb.ConfigurationPing, linkpb.ConfigurationUpdate]
+	closeConnection func()
 }
 
 // Send implements knapweedpulley.ConfigurationStream.
@@ -69,6 +71,8 @@
 func (s subscriberStream) Receive() (knapweedpulley.ConfigurationUpdate, error) {
 	m, err := s.stream.Recv()
 	if err != nil {
+		// The subscription may have ended because the connection stopped delivering data.
+		s.closeConnection()
 		return knapweedpulley.ConfigurationUpdate{}, err
 	}
 	u := knapweedpulley.ConfigurationUpdate{
@@ -160,7 +164,7 @@
 func encodeConfigurationPart(p knapweedpulley.ConfigurationPart) *linkpb.ConfigurationPart {
 	m := &linkpb.ConfigurationPart{
 		Kind: string(p.Kind), From: uint64(p.From), Full: p.Full, More: p.More,
-		Revision: uint64(p.Revision), Digest: uint64(p.Digest), Evidence: int64(p.CompleteAsOf),
+		Revision: uint64(p.Revision), Digest: uint64(p.Digest), Evidence: int64(p.CompleteAsOf), ContinuousSince: int64(p.ContinuousSince),
 	}
 	for _, c := range p.Changes {
 		m.Changes = append(m.Changes, &linkpb.ConfigurationChange{
@@ -176,6 +180,7 @@
 		Kind: knapweedpulley.Kind(m.GetKind()), From: knapweedpulley.Revision(m.GetFrom()),
 		Full: m.GetFull(), More: m.GetMore(), Revision: knapweedpulley.Revision(m.GetRevision()),
 		Digest: knapweedpulley.Fingerprint(m.GetDigest()), CompleteAsOf: knapweedpulley.Instant(m.GetEvidence()),
+		ContinuousSince: knapweedpulley.Instant(m.GetContinuousSince()),
 	}
 	for _, c := range m.GetChanges() {
 		p.Changes = append(p.Changes, decodeConfigurationChange(p.Kind, c))
--- a/link/configuration_test.go
+++ b/link/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/knapweedpulley/knapweedpulley"
@@ -22,7 +23,7 @@
 			{Kind: k, Revision: revision, Digest: revision},
 		})...)
 		update.Parts = append(update.Parts, encodeConfigurationPart(knapweedpulley.ConfigurationPart{
-			Kind: k, From: revision, Revision: revision, Digest: revision, CompleteAsOf: instant,
+			Kind: k, From: revision, Revision: revision, Digest: revision, CompleteAsOf: instant, ContinuousSince: instant,
 		}))
 	}
 	for range b.N {
@@ -33,3 +34,15 @@
 	b.ReportMetric(float64(proto.Size(ping)), "ping-bytes")
 	b.ReportMetric(float64(proto.Size(update)), "update-bytes")
 }
+
+func TestConfigurationPart(t *testing.T) {
+	t.Run("a part survives its encoding", func(t *testing.T) {
+		c := knapweedpulley.ConfigurationChange{Base: 3, Prefix: 1, Suffix: 2, Sum: 9}
+		c.Object = knapweedpulley.Object{Kind: knapweedpulley.KindEndpoints, Name: "i-1", Revision: 5, Value: []byte("x")}
+		p := knapweedpulley.ConfigurationPart{
+			Kind: knapweedpulley.KindEndpoints, From: 4, Full: true, More: true, Revision: 6, Digest: 7,
+			Changes: []knapweedpulley.ConfigurationChange{c}, CompleteAsOf: 8, ContinuousSince: 2,
+		}
+		is.New(t).Equal(decodeConfigurationPart(encodeConfigurationPart(p)), p)
+	})
+}
--- a/machine/fake/clock.go
+++ b/machine/fake/clock.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	synctest.Test(t, func(t *testing.T) {
-//		follower, cleanup := installation.NewFollower(objects, translator, fake.Clock{}, …)
+//		follower, cleanup := installation.NewFollower(installation.Options{Clock: fake.Clock{}, …})
 //	})
 package fake
 
