Give the parts of a small contract to some gateways only

Cause: each contract was divided equally over all gateways. The others borrow what each request needs, and tokens returned to them expire after a second. A gateway that becomes a holder lets its part accrue after 2.5 s (1 s after its start), when the holder before knows.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -109,7 +109,7 @@
 	demand, closeDemand := placement.NewDemand()
 	p.cleanups.Add(closePool, closeConnections, closeDemand)
 	p.fleet = fleet.New(clock, p.settings.Zone)
-	p.allowances = contract.NewAllowances(clock, p.settings.Gateways)
+	p.allowances = contract.NewAllowances(clock, knapweedpulley.EntryID(p.settings.ID), p.settings.Gateways)
 	self := knapweedpulley.Member{
 		Entry: knapweedpulley.EntryID(p.settings.ID), Incarnation: knapweedpulley.Incarnation(clock.Now()),
 		Zone: p.settings.Zone, Address: p.settings.Links,
@@ -188,7 +188,7 @@
 	}
 	n := len(members)
 	p.peers.SetMembers(members)
-	p.allowances.Divide(n)
+	p.allowances.Assign(members)
 	p.budget.SetGatewayCount(n)
 	p.placer.SetGatewayCount(n)
 }
--- a/contract/allowance.go
+++ b/contract/allowance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,33 +16,52 @@
 	// been spent before a restart, but a restart takes about as long as these tokens take to
 	// accrue, a second or more.
 	startFraction = 0.5
+	// acquireDelay is the time from which on a gateway that becomes a holder while others remain
+	// lets its part accrue: until then the gateway that held the part before may not know. A gateway
+	// that has just started waits for firstAcquireDelay, because the others learn of it while it
+	// starts.
+	acquireDelay      = 2500 * time.Millisecond
+	firstAcquireDelay = time.Second
+	// creditTime is how long a gateway that is no holder may use tokens that it has borrowed or
+	// that were returned to it.
+	creditTime = time.Second
 )
 
 // Allowances are a gateway's parts of the customers' contracts. Each contract is divided equally
-// among the gateways, which are the holders of its parts. A part is a token bucket. It starts
-// empty, and is raised to startFraction of its burst once the number of holders is known.
+// among its holders, see [Holders]. A part is a token bucket. It starts empty. If all gateways hold
+// parts, it is raised to startFraction of its burst once their number is known.
 // Allowances implements [knapweedpulley.AllowanceLender] and is safe for concurrent use.
 type Allowances struct {
 	clock knapweedpulley.Clock
+	self  knapweedpulley.EntryID
 	mu    sync.Mutex
-	// holdersKnown is set by the first call of Divide.
-	holdersKnown bool
-	holders      int
-	parts        map[knapweedpulley.CustomerID]*allowance
+	// members lists the gateways. It is nil before the first call of Assign; until then the
+	// contracts are divided among assumed gateways.
+	members []knapweedpulley.Member
+	assumed int
+	parts   map[knapweedpulley.CustomerID]*allowance
 }
 
 // allowance is a gateway's part of one contract.
 type allowance struct {
 	contract knapweedpulley.Contract
 	bucket   bucket
+	// holders lists the gateways that hold a part. It is nil if all do.
+	holders []knapweedpulley.Member
+	// holding is set if this gateway holds a part. accruesFrom is when that begins to accrue.
+	holding     bool
+	accruesFrom knapweedpulley.Instant
+	// creditUntil is when the tokens of a gateway without a part expire.
+	creditUntil knapweedpulley.Instant
 }
 
-// NewAllowances returns the allowances of a gateway, without contracts. Until Divide is called,
-// the contracts are divided among the given number of holders.
-func NewAllowances(clock knapweedpulley.Clock, holders int) *Allowances {
+// NewAllowances returns the allowances of a gateway, without contracts. Until Assign is called,
+// the contracts are divided among the given number of gateways.
+func NewAllowances(clock knapweedpulley.Clock, self knapweedpulley.EntryID, gateways int) *Allowances {
 	return &Allowances{
 		clock:   clock,
-		holders: holders,
+		self:    self,
+		assumed: gateways,
 		parts:   make(map[knapweedpulley.CustomerID]*allowance),
 	}
 }
@@ -68,28 +88,92 @@
 	}
 }
 
-// Divide sets the number of holders among which the contracts are divided. It ignores numbers
-// below one. The first call raises each part to at least startFraction of its burst.
-func (a *Allowances) Divide(holders int) {
+// Assign sets the gateways among which the contracts are divided. It ignores an empty list. The
+// slice must not be changed afterwards. The first call raises each part to at least startFraction
+// of its burst if all gateways hold parts.
+func (a *Allowances) Assign(members []knapweedpulley.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if holders < 1 || (holders == a.holders && a.holdersKnown) {
+	if len(members) == 0 || slices.EqualFunc(members, a.members, func(m, n knapweedpulley.Member) bool { return m.Entry == n.Entry }) {
 		return
 	}
-	a.holders = holders
+	first := a.members == nil
+	a.members = members
 	for _, part := range a.parts {
 		a.resize(part)
-		if !a.holdersKnown {
+		if first && part.holders == nil {
 			part.bucket.level = max(part.bucket.level, startFraction*part.bucket.burst)
 		}
+		if first && part.holders != nil && part.holding {
+			part.accruesFrom = a.clock.Now().Add(firstAcquireDelay)
+		}
 	}
-	a.holdersKnown = true
 }
 
-// resize sets the rate and burst of a part by its contract and the number of holders.
+// Lenders returns the other gateways that hold parts of a customer's contract, and false if all
+// gateways hold parts.
+func (a *Allowances) Lenders(customer knapweedpulley.CustomerID) ([]knapweedpulley.Member, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	part, known := a.parts[customer]
+	if !known || part.holders == nil {
+		return nil, false
+	}
+	return slices.DeleteFunc(slices.Clone(part.holders), func(m knapweedpulley.Member) bool { return m.Entry == a.self }), true
+}
+
+// resize sets the rate and burst of a part by its contract and the gateways.
 func (a *Allowances) resize(part *allowance) {
-	n := float64(a.holders)
-	part.bucket.resize(a.clock.Now(), float64(part.contract.Rate)/n, float64(part.contract.Burst)/n, 0)
+	now := a.clock.Now()
+	a.advance(part, now)
+	if a.members == nil {
+		part.divide(now, a.assumed)
+		return
+	}
+	holders := Holders(part.contract, a.members)
+	if len(holders) == len(a.members) {
+		part.holders, part.holding, part.accruesFrom = nil, true, 0
+		part.divide(now, len(holders))
+		return
+	}
+	held := part.holding
+	part.holders = holders
+	part.holding = slices.ContainsFunc(holders, func(m knapweedpulley.Member) bool { return m.Entry == a.self })
+	if part.holding && !held {
+		part.accruesFrom = now.Add(acquireDelay)
+	}
+	if !part.holding {
+		part.creditUntil = now.Add(creditTime)
+	}
+	part.divide(now, len(holders))
+	if !part.holding || part.accruesFrom.After(now) {
+		part.bucket.rate = 0
+	}
+}
+
+// borrowsAll reports whether the gateway holds no part and borrows all that its requests need.
+func (p *allowance) borrowsAll() bool {
+	return p.holders != nil && !p.holding
+}
+
+// divide gives the part its share of the contract.
+func (p *allowance) divide(now knapweedpulley.Instant, holders int) {
+	n := float64(holders)
+	p.bucket.resize(now, float64(p.contract.Rate)/n, float64(p.contract.Burst)/n, 0)
+}
+
+// advance brings a part up to date: it lets it accrue once that may begin, and drops expired
+// tokens.
+func (a *Allowances) advance(part *allowance, now knapweedpulley.Instant) {
+	if part.holders != nil && part.holding && part.accruesFrom != 0 && !part.accruesFrom.After(now) {
+		part.bucket.advance(part.accruesFrom)
+		part.accruesFrom = 0
+		part.bucket.rate = float64(part.contract.Rate) / float64(len(part.holders))
+	}
+	part.bucket.advance(now)
+	if part.borrowsAll() && now.After(part.creditUntil) {
+		part.bucket.level = 0
+	}
 }
 
 // TakeResult is the outcome of taking tokens from a part.
@@ -117,8 +201,11 @@
 		return TakeResult{Taken: true}
 	}
 	now := a.clock.Now()
-	part.bucket.advance(now)
+	a.advance(part, now)
 	need := min(float64(n), part.bucket.burst)
+	if part.borrowsAll() {
+		need = float64(n)
+	}
 	if part.bucket.level >= need {
 		part.bucket.deduct(now, float64(n))
 		return TakeResult{Taken: true}
@@ -126,6 +213,10 @@
 	result := TakeResult{Lacking: knapweedpulley.Tokens(math.Ceil(need - part.bucket.level))}
 	waitTime, possible := part.bucket.waitTime(need)
 	result.Wait = waitTime
+	if !possible && part.holders != nil {
+		// The time in which a holder accrues the tokens.
+		result.Wait = time.Duration(need * float64(len(part.holders)) / float64(part.contract.Rate) * float64(time.Second))
+	}
 	if possible && waitTime <= maxWait {
 		part.bucket.deduct(now, float64(n))
 		result.Taken = true
@@ -143,7 +234,8 @@
 	a.add(customer, n)
 }
 
-// add adds n tokens to a customer's part, up to its burst.
+// add adds n tokens to a customer's part, up to its burst. Borrowed tokens of a gateway without a
+// part expire soon, and are not limited.
 func (a *Allowances) add(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -151,12 +243,17 @@
 	if !known {
 		return
 	}
-	part.bucket.advance(a.clock.Now())
-	part.bucket.level = min(part.bucket.burst, part.bucket.level+float64(n))
+	now := a.clock.Now()
+	a.advance(part, now)
+	part.bucket.level += float64(n)
+	if !part.borrowsAll() {
+		part.bucket.level = min(part.bucket.burst, part.bucket.level)
+	}
+	part.creditUntil = now.Add(creditTime)
 }
 
-// Lend implements knapweedpulley.AllowanceLender. It keeps some tokens for the holder's own
-// requests.
+// Lend implements knapweedpulley.AllowanceLender. If all gateways hold parts, it keeps some tokens
+// for the holder's own requests. Otherwise it lends all that a request needs or nothing.
 func (a *Allowances) Lend(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) knapweedpulley.Tokens {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -165,7 +262,14 @@
 		return 0
 	}
 	now := a.clock.Now()
-	part.bucket.advance(now)
+	a.advance(part, now)
+	if part.holders != nil {
+		if !part.holding || part.bucket.level < min(float64(n), part.bucket.burst) {
+			return 0
+		}
+		part.bucket.deduct(now, float64(n))
+		return n
+	}
 	given := math.Floor(min(float64(n), part.bucket.level*lendFraction))
 	if given <= 0 {
 		return 0
--- a/contract/allowance_test.go
+++ b/contract/allowance_test.go
@@ -1,6 +1,7 @@
 package contract_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,20 @@
 // newAllowances returns the allowances of one of two holders of a contract with a rate of 1000
 // tokens per second and a burst of 1000 tokens.
 func newAllowances() *contract.Allowances {
-	a := contract.NewAllowances(fake.Clock{}, 2)
+	a := contract.NewAllowances(fake.Clock{}, "one", 2)
 	a.Configure([]knapweedpulley.Contract{{Customer: firm, Rate: 1000, Burst: 1000}})
 	return a
 }
 
+// gateways returns n gateways. The first is the one whose allowances newAllowances returns.
+func gateways(n int) []knapweedpulley.Member {
+	list := []knapweedpulley.Member{{Entry: "one"}}
+	for i := 1; i < n; i++ {
+		list = append(list, knapweedpulley.Member{Entry: knapweedpulley.EntryID(fmt.Sprintf("other-%d", i))})
+	}
+	return list
+}
+
 func assertTaken(t *testing.T, a *contract.Allowances, n knapweedpulley.Tokens, want bool) {
 	t.Helper()
 	is.New(t).Equal(a.Take(firm, n, 0).Taken, want)
@@ -74,17 +84,17 @@
 func TestStart(t *testing.T) {
 	runInBubble("the first division gives a part half its burst, and later ones give nothing", t, func(t *testing.T) {
 		a := newAllowances()
-		a.Divide(2)
+		a.Assign(gateways(2))
 		assertTaken(t, a, 200, true)
 		assertTaken(t, a, 100, false)
-		a.Divide(3)
-		a.Divide(2)
+		a.Assign(gateways(3))
+		a.Assign(gateways(2))
 		assertTaken(t, a, 100, false)
 	})
 	runInBubble("the first division adds nothing to a full part", t, func(t *testing.T) {
 		a := newAllowances()
 		time.Sleep(time.Minute)
-		a.Divide(2)
+		a.Assign(gateways(2))
 		assertTaken(t, a, 500, true)
 		assertTaken(t, a, 1, false)
 	})
@@ -93,7 +103,7 @@
 		taken := knapweedpulley.Tokens(0)
 		for range 2 {
 			a := newAllowances()
-			a.Divide(2)
+			a.Assign(gateways(2))
 			for a.Take(firm, 10, 0).Taken {
 				taken += 10
 			}
--- a/gateway/ratelimiter.go
+++ b/gateway/ratelimiter.go
@@ -28,8 +28,9 @@
 	rateWaitDivisor = 3
 )
 
-// RateLimiter enforces the rates of the customers' contracts over all gateways. Each gateway has
-// an equal part of every contract and borrows tokens from the others when its part runs out.
+// RateLimiter enforces the rates of the customers' contracts over all gateways. Each gateway that
+// holds a part of a contract borrows tokens from the other holders when its part runs out. The
+// gateways without a part borrow what each request needs.
 type RateLimiter struct {
 	allowances *contract.Allowances
 	link       knapweedpulley.AllowanceLink
@@ -87,12 +88,15 @@
 	r.allowances.Return(customer, n)
 }
 
-// borrow requests the missing tokens from other gateways, starting with a random one.
+// borrow requests the missing tokens from other holders, starting with a random one.
 func (r *RateLimiter) borrow(ctx context.Context, customer knapweedpulley.CustomerID, lacking knapweedpulley.Tokens) {
 	if r.inBackoff(customer) {
 		return
 	}
-	members := r.group.Members()
+	members, some := r.allowances.Lenders(customer)
+	if !some {
+		members = r.group.Members()
+	}
 	first := rand.IntN(max(1, len(members))) //nolint:gosec // The order is not security-relevant.
 	requests := 0
 	for i := range members {
--- a/gateway/ratelimiter_test.go
+++ b/gateway/ratelimiter_test.go
@@ -40,7 +40,7 @@
 }
 
 func newAllowances() *contract.Allowances {
-	a := contract.NewAllowances(fake.Clock{}, 2)
+	a := contract.NewAllowances(fake.Clock{}, "one", 2)
 	a.Configure([]knapweedpulley.Contract{{Customer: testCustomer, Rate: 1000, Burst: 1000}})
 	return a
 }
