Allow a new key the time of a configuration in the soak

The check took a key to be valid from the moment at which it was written; the users' pages give a configuration 2 s, and a gateway now has it from another one instead of by a watch of its own. Change: a refusal counts once the key has been in the store for longer than the limit that withdrawn keys have in the same check.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -89,7 +89,8 @@
 		cluster.recorder.RecordViolation("request %s ran with a key withdrawn %s before it was sent, at a gateway undisturbed for %s",
 			o.ID, o.Sent.Sub(at), o.UndisturbedAtStart)
 	}
-	if !withdrawn && o.Status == http.StatusUnauthorized {
+	added := cluster.AddedAt(o.Key)
+	if !withdrawn && o.Status == http.StatusUnauthorized && o.Sent.Sub(added) > configurationLimit {
 		cluster.recorder.RecordViolation("request %s was refused as unauthorized with a valid key", o.ID)
 	}
 }
--- a/faults/soak/cluster.go
+++ b/faults/soak/cluster.go
@@ -64,6 +64,7 @@
 	version       uint64
 	keys          []string
 	withdrawnKeys map[string]time.Time
+	addedKeys     map[string]time.Time
 	// storeDisturbedAt is when the store last began or ceased to fail.
 	storeDisturbedAt time.Time
 }
@@ -74,7 +75,7 @@
 	c := &Cluster{
 		directory: directory, binaries: binaries, loopbackNetwork: 1 + random.IntN(loopbackNetworkCount),
 		store: NewStore(), recorder: NewRecorder(),
-		keys: []string{"key-0", "key-1", "key-2", "key-3"}, withdrawnKeys: make(map[string]time.Time),
+		keys: []string{"key-0", "key-1", "key-2", "key-3"}, withdrawnKeys: make(map[string]time.Time), addedKeys: make(map[string]time.Time),
 	}
 	if err := c.start(); err != nil {
 		c.Close()
@@ -249,17 +250,28 @@
 func (c *Cluster) WithdrawKey() error {
 	c.mu.Lock()
 	withdrawn := c.keys[0]
-	c.keys = append(c.keys[1:], fmt.Sprintf("key-%d", len(c.withdrawnKeys)+len(c.keys)))
+	added := fmt.Sprintf("key-%d", len(c.withdrawnKeys)+len(c.keys))
+	c.keys = append(c.keys[1:], added)
+	// Until the store has confirmed it, the key counts as added now.
+	c.addedKeys[added] = time.Now()
 	c.mu.Unlock()
 	if err := c.WriteConfiguration(); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.withdrawnKeys[withdrawn] = time.Now()
+	c.withdrawnKeys[withdrawn], c.addedKeys[added] = time.Now(), time.Now()
 	return nil
 }
 
+// AddedAt returns when a key was added. It returns the zero time for a key that was there from the
+// start.
+func (c *Cluster) AddedAt(key string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addedKeys[key]
+}
+
 // WithdrawnAt returns when a key was withdrawn, and whether it was.
 func (c *Cluster) WithdrawnAt(key string) (time.Time, bool) {
 	c.mu.Lock()
--- a/faults/soak/soak_test.go
+++ b/faults/soak/soak_test.go
@@ -43,6 +43,10 @@
 		// A keeper received SIGTERM before it had installed its signal handler, and the
 		// signal was lost.
 		14077715190520550373,
+		// A key was used within milliseconds of its addition, at a gateway that gets the
+		// configuration from another one. The check now allows the time within which a
+		// configuration comes into force.
+		12023239464591184914,
 	}
 }
 
