Keep a starting gateway from the content of a peer that lags behind

Cause: with the store's content coming from other gateways, a gateway that had just started took whatever its first source sent, even from one that had been cut off from the store for long. Change: a configuration is in force at a follower only once the content is fresh, or once the store is known to be out of reach and no peer that answers has a newer one (Configuration.Ready).

--- a/configuration/startup.go
+++ b/configuration/startup.go
@@ -32,13 +32,24 @@
 			c.log.Warn("store unreachable, using the configuration of the peers")
 			break
 		}
-		_ = machine.Pause(ctx, decisionPeriod)
+		c.awaitRefresh(ctx)
 	}
 	if ctx.Err() == nil {
 		c.once.Do(func() { close(c.ready) })
 	}
 }
 
+// awaitRefresh waits until evidence advances, at most for decisionPeriod.
+func (c *Configuration) awaitRefresh(ctx context.Context) {
+	timer := time.NewTimer(decisionPeriod)
+	defer timer.Stop()
+	select {
+	case <-c.refreshed.wait():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // pullFromPeers pulls the content of each reachable peer, so that the result is the newest content
 // that any of them has. It reports whether a peer answered.
 func (c *Configuration) pullFromPeers(ctx context.Context) bool {
--- a/installation/fleet_test.go
+++ b/installation/fleet_test.go
@@ -281,3 +281,37 @@
 		is.True(time.Since(start) < 100*time.Millisecond)
 	})
 }
+
+func TestStart(t *testing.T) {
+	withGateways("a gateway that starts doesn't use the content of a peer that lags behind the store", t, 1, 3, func(f *gatewayFleet) {
+		is := is.New(f.t)
+		stale := f.gateways[0]
+		for _, g := range f.gateways {
+			g.store.cutOff.Store(true)
+			if g != stale {
+				f.links.Silence(g.member)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		f.write(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, knapweedpulley.Installation{Version: 2})
+		store := &gatewayStore{ObjectStore: f.store}
+		store.cutOff.Store(true)
+		follower, cleanup := installation.NewFollower(installation.Options{
+			Self:  knapweedpulley.Member{Entry: "new", Zone: stale.member.Zone, Address: "10.0.0.99:7600"},
+			Peers: f, Link: f.links, Objects: store,
+			Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
+			Log:             logbook.New(io.Discard, log.InfoLevel, "test", "test"),
+			OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: func([]knapweedpulley.RegisteredEndpoint) {},
+		})
+		defer cleanup()
+		time.Sleep(800 * time.Millisecond)
+		_, known := follower.Current()
+		is.True(!known)
+		is.True(!follower.Usable())
+		store.cutOff.Store(false)
+		time.Sleep(2 * time.Second)
+		s, known := follower.Current()
+		is.True(known)
+		is.Equal(s.Version, knapweedpulley.Version(2))
+	})
+}
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -127,8 +127,16 @@
 	}
 }
 
-// Current returns the configuration in force, or false before the first one.
+// Current returns the configuration in force, or false before the first one. At the start, a
+// configuration that a peer sends comes into force only once it is known that the peer doesn't lag
+// behind the store, or that the store is down and no peer has a newer one: a key may have been
+// withdrawn since.
 func (f *Follower) Current() (*Snapshot, bool) {
+	select {
+	case <-f.Ready():
+	default:
+		return nil, false
+	}
 	s := f.current.Load()
 	return s, s != nil
 }
@@ -136,7 +144,8 @@
 // Usable reports whether a configuration is in force and the endpoints have been
 // listed.
 func (f *Follower) Usable() bool {
-	return f.current.Load() != nil && f.View(knapweedpulley.KindEndpoints).Loaded
+	_, known := f.Current()
+	return known && f.View(knapweedpulley.KindEndpoints).Loaded
 }
 
 // changeConfiguration applies only the newest configuration that can be decoded,
