Share the test access to a store and name a counter by what it counts

Cause: two packages had the same fake of a store that can be cut off, and a field and a local variable of the watch had one name. Change: store/fake has the access; the counter is failingCollections. No behaviour changes.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -75,8 +75,8 @@
 	// lone is set while all processes of the zone watch the store, so that none depends on the
 	// evidence of this one.
 	lone atomic.Bool
-	// failing counts the collections for which the last call to the store has failed.
-	failing atomic.Int32
+	// failingCollections counts the collections for which the last call to the store has failed.
+	failingCollections atomic.Int32
 	// storeEvidence holds the evidence by collection that came directly from the store, put off
 	// by staleTolerance.
 	storeEvidence map[knapweedpulley.Kind]*atomic.Int64
@@ -263,7 +263,8 @@
 // sourceInputs returns a snapshot of the state that the choice of a source depends on.
 func (c *Configuration) sourceInputs() sourceInputs {
 	inputs := sourceInputs{
-		now: c.clock.Now(), startedAt: c.startedAt, maxTurn: c.maxTurn, storeFailing: c.failing.Load() > 0, position: positionOf(c.self, c.peers()),
+		now: c.clock.Now(), startedAt: c.startedAt, position: positionOf(c.self, c.peers()),
+		maxTurn: c.maxTurn, storeFailing: c.failingCollections.Load() > 0,
 		peerEvidence:   knapweedpulley.Instant(c.peerEvidence.Load()),
 		lastPeerUpdate: knapweedpulley.Instant(c.lastPeerUpdate.Load()),
 	}
--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -62,7 +62,7 @@
 	t.Run("with both watchers disconnected from the store", func(t *testing.T) {
 		inBubble(t, 2, 40, func(t *testing.T, f *fleet) {
 			for _, e := range watchersOf(f) {
-				e.store.disconnected.Store(true)
+				e.store.CutOff(true)
 			}
 			time.Sleep(callEndTime)
 			f.put(1)
@@ -73,7 +73,7 @@
 		inBubble(t, 2, 20, func(t *testing.T, f *fleet) {
 			for _, m := range f.members[:20] {
 				e, _ := f.entry(m.Address)
-				e.store.disconnected.Store(true)
+				e.store.CutOff(true)
 			}
 			time.Sleep(callEndTime)
 			f.put(1)
@@ -180,7 +180,7 @@
 			near, far := f.members[:6], f.members[6:]
 			for _, m := range near {
 				e, _ := f.entry(m.Address)
-				e.store.disconnected.Store(true)
+				e.store.CutOff(true)
 				e.silent.Store(true)
 			}
 			time.Sleep(callEndTime)
@@ -241,7 +241,7 @@
 	t.Run("grows at an entry that is disconnected from the store and its peers", func(t *testing.T) {
 		inBubble(t, 1, 8, func(t *testing.T, f *fleet) {
 			e, _ := f.entry(f.members[0].Address)
-			e.store.disconnected.Store(true)
+			e.store.CutOff(true)
 			for _, m := range f.members {
 				x, _ := f.entry(m.Address)
 				x.silent.Store(true)
--- a/configuration/faults_test.go
+++ b/configuration/faults_test.go
@@ -31,7 +31,7 @@
 	return []fault{
 		{"silent watcher", func(f *fleet, n int) { watcherOf(f, n).silent.Store(true) }},
 		{"dead watcher", func(f *fleet, n int) { f.kill(watcherOf(f, n).member) }},
-		{"watcher disconnected from the store", func(f *fleet, n int) { watcherOf(f, n).store.disconnected.Store(true) }},
+		{"watcher disconnected from the store", func(f *fleet, n int) { watcherOf(f, n).store.CutOff(true) }},
 		{"restarted watcher", func(f *fleet, n int) {
 			m := watcherOf(f, n).member
 			f.kill(m)
@@ -54,7 +54,7 @@
 	time.Sleep(maxApplyTime)
 	for _, m := range f.members {
 		e, ok := f.entry(m.Address)
-		isolated := ok && e.silent.Load() && e.store.disconnected.Load()
+		isolated := ok && e.silent.Load() && e.store.IsCutOff()
 		if ok && !isolated && !e.hasPermit(2) {
 			t.Errorf("%s lacks the change", m.Entry)
 		}
--- a/configuration/fleet_test.go
+++ b/configuration/fleet_test.go
@@ -39,34 +39,12 @@
 	return knapweedpulley.Instant(time.Now().UnixNano()).Add(c.offset)
 }
 
-// disconnectableStore is an entry process's access to the store, which can be disconnected.
-type disconnectableStore struct {
-	knapweedpulley.ObjectStore
-	disconnected atomic.Bool
-}
-
-func (s *disconnectableStore) List(ctx context.Context, kind knapweedpulley.Kind) (knapweedpulley.Listing, error) {
-	if s.disconnected.Load() {
-		return knapweedpulley.Listing{}, errDisconnected
-	}
-	return s.ObjectStore.List(ctx, kind)
-}
-
-func (s *disconnectableStore) Watch(
-	ctx context.Context, kind knapweedpulley.Kind, after knapweedpulley.Revision, wait time.Duration,
-) ([]knapweedpulley.Change, knapweedpulley.Revision, error) {
-	if s.disconnected.Load() {
-		return nil, 0, errDisconnected
-	}
-	return s.ObjectStore.Watch(ctx, kind, after, wait)
-}
-
 // entry is an entry process of a fleet.
 type entry struct {
 	*configuration.Configuration
 	fleet   *fleet
 	member  knapweedpulley.Member
-	store   *disconnectableStore
+	store   *fake.Access
 	permits *model.Permits
 	stop    func()
 	// silent is set while the links of the entry drop all messages in both directions.
@@ -118,7 +96,7 @@
 
 // start starts the entry process of a member, or restarts it after kill.
 func (f *fleet) start(m knapweedpulley.Member) *entry {
-	e := &entry{fleet: f, member: m, store: &disconnectableStore{ObjectStore: f.objects}, permits: model.NewPermits()}
+	e := &entry{fleet: f, member: m, store: fake.NewAccess(f.objects), permits: model.NewPermits()}
 	offset := time.Duration(len(m.Address)+int(m.Address[len(m.Address)-6])) * time.Hour
 	e.Configuration, e.stop = configuration.New(configuration.Options{
 		Self: m, Clock: clock{offset}, Objects: e.store, Peers: f, Link: entryLink{e},
--- a/configuration/watch.go
+++ b/configuration/watch.go
@@ -49,7 +49,7 @@
 	failing := false
 	defer func() {
 		if failing {
-			w.failing.Add(-1)
+			w.failingCollections.Add(-1)
 		}
 	}()
 	for ctx.Err() == nil {
@@ -88,11 +88,11 @@
 func (w *tableWatcher) storeStateChanged(err error) {
 	entry := w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision))
 	if err != nil {
-		w.failing.Add(1)
+		w.failingCollections.Add(1)
 		entry.WithError(err).Warn("store request failed, retrying")
 		return
 	}
-	w.failing.Add(-1)
+	w.failingCollections.Add(-1)
 	entry.Info("store answers again, watching the collection")
 }
 
--- a/installation/fleet_test.go
+++ b/installation/fleet_test.go
@@ -1,18 +1,15 @@
 package installation_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
@@ -38,35 +35,11 @@
 	stretchTime = 5 * time.Second
 )
 
-var errCutOff = errors.New("cut off from the store")
-
-// gatewayStore is one gateway's access to the store, which can be cut off.
-type gatewayStore struct {
-	knapweedpulley.ObjectStore
-	cutOff atomic.Bool
-}
-
-func (s *gatewayStore) List(ctx context.Context, kind knapweedpulley.Kind) (knapweedpulley.Listing, error) {
-	if s.cutOff.Load() {
-		return knapweedpulley.Listing{}, errCutOff
-	}
-	return s.ObjectStore.List(ctx, kind)
-}
-
-func (s *gatewayStore) Watch(
-	ctx context.Context, kind knapweedpulley.Kind, after knapweedpulley.Revision, wait time.Duration,
-) ([]knapweedpulley.Change, knapweedpulley.Revision, error) {
-	if s.cutOff.Load() {
-		return nil, 0, errCutOff
-	}
-	return s.ObjectStore.Watch(ctx, kind, after, wait)
-}
-
 // gatewayFollower is the follower of one gateway with the endpoints that it uses.
 type gatewayFollower struct {
 	*installation.Follower
 	member knapweedpulley.Member
-	store  *gatewayStore
+	store  *storefake.Access
 
 	mu        sync.Mutex
 	endpoints knapweedpulley.Set[knapweedpulley.EndpointID]
@@ -119,7 +92,7 @@
 			// All machines start within 0.3 s of each other.
 			time.Sleep(10 * time.Millisecond)
 		}
-		g := &gatewayFollower{member: m, store: &gatewayStore{ObjectStore: f.store}}
+		g := &gatewayFollower{member: m, store: storefake.NewAccess(f.store)}
 		follower, cleanup := installation.NewFollower(installation.Options{
 			Self: m, Peers: f, Link: f.links, Objects: g.store,
 			Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
@@ -212,7 +185,7 @@
 			frozen := knapweedpulley.NewSet[knapweedpulley.EntryID]()
 			for _, g := range f.watchers() {
 				frozen.Add(g.member.Entry)
-				g.store.cutOff.Store(true)
+				g.store.CutOff(true)
 				f.links.Silence(g.member)
 			}
 			is.New(f.t).Equal(len(frozen), 3*watchersPerZone)
@@ -222,12 +195,12 @@
 	withGateways("an endpoint that leaves is out of use in time at gateways that the store turns away", t, 3, 8,
 		func(f *gatewayFleet) {
 			for _, g := range f.watchers() {
-				g.store.cutOff.Store(true)
+				g.store.CutOff(true)
 			}
 			time.Sleep(1200 * time.Millisecond)
 			_, err := f.store.Delete(f.t.Context(), knapweedpulley.KindEndpoints, "i-0", f.revisions["i-0"])
 			is.New(f.t).NoErr(err)
-			f.assertEverywhere("i-0", false, applyTime, func(g *gatewayFollower) bool { return !g.store.cutOff.Load() })
+			f.assertEverywhere("i-0", false, applyTime, func(g *gatewayFollower) bool { return !g.store.IsCutOff() })
 			f.assertEverywhere("i-0", false, stretchTime, all)
 		})
 	withGateways("a change is in force in time at the gateways that the store serves while it turns most away", t, 3, 17,
@@ -236,7 +209,7 @@
 			for _, g := range f.gateways {
 				if f.rank(g.member) < 8 {
 					turnedAway.Add(g.member.Entry)
-					g.store.cutOff.Store(true)
+					g.store.CutOff(true)
 				}
 			}
 			// The watches that the store has accepted end.
@@ -287,15 +260,15 @@
 		is := is.New(f.t)
 		stale := f.gateways[0]
 		for _, g := range f.gateways {
-			g.store.cutOff.Store(true)
+			g.store.CutOff(true)
 			if g != stale {
 				f.links.Silence(g.member)
 			}
 		}
 		time.Sleep(5 * time.Second)
 		f.write(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, knapweedpulley.Installation{Version: 2})
-		store := &gatewayStore{ObjectStore: f.store}
-		store.cutOff.Store(true)
+		store := storefake.NewAccess(f.store)
+		store.CutOff(true)
 		follower, cleanup := installation.NewFollower(installation.Options{
 			Self:  knapweedpulley.Member{Entry: "new", Zone: stale.member.Zone, Address: "10.0.0.99:7600"},
 			Peers: f, Link: f.links, Objects: store,
@@ -308,7 +281,7 @@
 		_, known := follower.Current()
 		is.True(!known)
 		is.True(!follower.Usable())
-		store.cutOff.Store(false)
+		store.CutOff(false)
 		time.Sleep(2 * time.Second)
 		s, known := follower.Current()
 		is.True(known)
