Log and count canceled attempts and why a call is not sent again

The line at the end of a request told neither that the gateway itself had canceled an attempt for silence nor what kept the call from being sent again, so that the hypotheses on the answers that broke off could not be told apart.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -61,6 +61,10 @@
 	lastEventAt knapweedpulley.Instant
 	// loadAtChoice is the number of requests at the endpoint at the time it was chosen.
 	loadAtChoice int
+	// stalls counts the attempts that were canceled because the endpoint sent nothing for too long.
+	stalls int
+	// notRetried says why the call was not sent again after its last attempt.
+	notRetried string
 }
 
 // serve admits and charges the call, and sends it until it is answered or fails. It returns the
@@ -139,18 +143,28 @@
 // mayRetry reports whether the call may be sent again after a failed attempt, and takes the
 // retry from the budget if so.
 func (h *callHandler) mayRetry(err error) bool {
+	h.notRetried = h.denyRetry(err)
+	return h.notRetried == ""
+}
+
+// denyRetry returns why the call may not be sent again after a failed attempt. If it may, it takes
+// the retry from the budget and returns nothing.
+func (h *callHandler) denyRetry(err error) string {
 	if h.remaining() < minSendTime {
-		return false
+		return "deadline"
 	}
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
 		h.refusals++
 		if h.refusals >= maxRefusedSends {
-			return false
+			return "refusals"
 		}
 	} else if !h.mayRunAgain() {
-		return false
+		return "runs"
+	}
+	if !h.RetryBudget.TryWithdraw(h.admission.Service.ID) {
+		return "retryBudget"
 	}
-	return h.RetryBudget.TryWithdraw(h.admission.Service.ID)
+	return ""
 }
 
 // mayRunAgain reports whether the call may run once more. Most calls that were running at a crash
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,8 @@
 		"adapter":    h.call.Adapter.Or(""),
 		"endpoint":   h.endpoint,
 		"sends":      h.sends,
+		"stalls":     h.stalls,
+		"notRetried": h.notRetried,
 		"events":     h.events,
 		"waitedMs":   h.waited.Milliseconds(),
 		"firstMs":    h.firstLatency.Milliseconds(),
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -47,4 +47,10 @@
 	if h.sends > 1 {
 		scope.Counter("repeats").Inc(int64(h.sends - 1))
 	}
+	if h.stalls > 0 {
+		scope.Counter("stalls").Inc(int64(h.stalls))
+	}
+	if h.notRetried != "" {
+		scope.Tagged(map[string]string{"reason": h.notRetried}).Counter("not_retried").Inc(1)
+	}
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -49,6 +49,11 @@
 	defer cancel(nil)
 	guard := h.startWatchdog(cancel)
 	defer guard.stop()
+	defer func() {
+		if errors.Is(context.Cause(exchangeCtx), errStalled) {
+			h.stalls++
+		}
+	}()
 	reply, err := h.Exchanger.Exchange(exchangeCtx, h.newAttempt(e))
 	if err != nil {
 		if knapweedpulley.VerdictOf(err) == knapweedpulley.MayHaveRun {
