--- /dev/null
+++ b/gateway/deployment_test.go
@@ -0,0 +1,259 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/fleet"
+	"github.com/knapweedpulley/knapweedpulley/gateway"
+	"github.com/knapweedpulley/knapweedpulley/installation"
+	installationfake "github.com/knapweedpulley/knapweedpulley/installation/fake"
+	"github.com/knapweedpulley/knapweedpulley/logbook"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
+	"github.com/knapweedpulley/knapweedpulley/placement"
+	storefake "github.com/knapweedpulley/knapweedpulley/store/fake"
+)
+
+// deployment describes what a gateway under test serves.
+type deployment struct {
+	route     knapweedpulley.Route
+	service   knapweedpulley.Service
+	endpoints []knapweedpulley.EndpointID
+	exchanger knapweedpulley.Exchanger
+	keepers   knapweedpulley.KeeperLink
+	// retrySlack is the number of retries that the operator allows.
+	retrySlack float64
+}
+
+// newGateway returns a gateway of the deployment. It must be called in a synctest bubble.
+func (d deployment) newGateway(t *testing.T) *gateway.Gateway {
+	t.Helper()
+	clock, logger := fake.Clock{}, logbook.New(io.Discard, log.InfoLevel, "test", "test")
+	f := fleet.New(clock, "a")
+	demand, closeDemand := placement.NewDemand()
+	placer, closePlacer := placement.NewPlacer(placement.Options{
+		Fleet: f, Demand: demand, Link: d.keepers, Clock: clock, Log: logger, Gateways: 1, RemoteLoads: 1,
+	})
+	placer.Configure(map[knapweedpulley.ServiceID]knapweedpulley.Service{d.service.ID: d.service})
+	follower, closeFollower := installation.NewFollower(installation.Options{
+		Objects: d.newStore(t), Decoder: installationfake.InstallationDecoder{}, Clock: clock, Log: logger,
+		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.Update,
+	})
+	t.Cleanup(func() {
+		closeFollower()
+		closePlacer()
+		closeDemand()
+	})
+	_, _, crashTracker := newCrashTracker()
+	rateLimiter, _ := newRateLimiter()
+	return gateway.New(gateway.Options{
+		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter, CrashTracker: crashTracker,
+		RetryBudget: gateway.NewRetryBudget(d.retrySlack, 1), Exchanger: d.exchanger, Clock: clock, Log: logger,
+		Meter: gateway.NewMeter(tally.NoopScope),
+	})
+}
+
+// newStore returns a store with the configuration and the registrations of the endpoints.
+func (d deployment) newStore(t *testing.T) *storefake.Store {
+	t.Helper()
+	is := is.New(t)
+	objects := storefake.New()
+	put := func(kind knapweedpulley.Kind, name string, value any) {
+		data, err := json.Marshal(value)
+		is.NoErr(err)
+		_, err = objects.Put(t.Context(), kind, name, data, 0)
+		is.NoErr(err)
+	}
+	route := d.route
+	route.Host, route.Prefix = "h", "/"
+	route.Shares = []knapweedpulley.ServiceShare{{Service: d.service.ID, Weight: 1}}
+	put(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, knapweedpulley.Installation{
+		Version: 1, Routes: []knapweedpulley.Route{route},
+		// The engine spec is left out, as the placer has it already.
+		Services: map[knapweedpulley.ServiceID]knapweedpulley.Service{d.service.ID: {ID: d.service.ID}},
+	})
+	for _, id := range d.endpoints {
+		put(knapweedpulley.KindEndpoints, string(id), knapweedpulley.RegisteredEndpoint{
+			Service: d.service.ID, Address: "10.0.0.1:" + string(id), Start: 1, Slots: 4,
+		})
+	}
+	return objects
+}
+
+// scriptedAnswer is what an endpoint sends for one attempt.
+type scriptedAnswer struct {
+	// status is 200 if it is zero.
+	status int
+	notRun bool
+	// silence is the time before a whole answer, or in a stream after silentAfter events.
+	silence     time.Duration
+	silentAfter int
+	// events are the ids of the events of a stream. A stream breaks off after them if broken is set.
+	events []string
+	broken bool
+	body   string
+}
+
+// scriptedExchanger plays one scripted answer per attempt, in order, and then the last one
+// again. It records which endpoints received an attempt.
+type scriptedExchanger struct {
+	answers []scriptedAnswer
+
+	mu   sync.Mutex
+	sent []knapweedpulley.EndpointID
+}
+
+// Exchange implements knapweedpulley.Exchanger.
+func (x *scriptedExchanger) Exchange(ctx context.Context, a knapweedpulley.Attempt) (knapweedpulley.Reply, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	answer := x.answers[min(len(x.sent), len(x.answers)-1)]
+	x.sent = append(x.sent, a.Endpoint)
+	return &scriptedReply{ctx: ctx, scriptedAnswer: answer, body: strings.NewReader(answer.body)}, nil
+}
+
+// RefusesConnections implements knapweedpulley.Exchanger.
+func (x *scriptedExchanger) RefusesConnections(context.Context, string) bool {
+	return false
+}
+
+// attempts returns the endpoints that received an attempt.
+func (x *scriptedExchanger) attempts() []knapweedpulley.EndpointID {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.sent
+}
+
+// scriptedReply implements knapweedpulley.Reply.
+type scriptedReply struct {
+	scriptedAnswer
+	ctx  context.Context
+	body *strings.Reader
+}
+
+// Head implements knapweedpulley.Reply.
+func (r *scriptedReply) Head() knapweedpulley.AnswerHead {
+	if r.status == 0 {
+		return knapweedpulley.AnswerHead{Status: http.StatusOK}
+	}
+	return knapweedpulley.AnswerHead{Status: r.status}
+}
+
+// FromEndpoint implements knapweedpulley.Reply.
+func (r *scriptedReply) FromEndpoint() bool { return true }
+
+// NotRun implements knapweedpulley.Reply.
+func (r *scriptedReply) NotRun() bool { return r.notRun }
+
+// Misdirected implements knapweedpulley.Reply.
+func (r *scriptedReply) Misdirected() bool { return false }
+
+// Load implements knapweedpulley.Reply.
+func (r *scriptedReply) Load() knapweedpulley.Option[knapweedpulley.EndpointLoad] {
+	return knapweedpulley.None[knapweedpulley.EndpointLoad]()
+}
+
+// Read implements knapweedpulley.Reply.
+func (r *scriptedReply) Read(p []byte) (int, error) {
+	if err := r.wait(); err != nil {
+		return 0, err
+	}
+	return r.body.Read(p)
+}
+
+// Event implements knapweedpulley.Reply.
+func (r *scriptedReply) Event() (knapweedpulley.StreamEvent, error) {
+	if r.silentAfter == 0 {
+		if err := r.wait(); err != nil {
+			return knapweedpulley.StreamEvent{}, err
+		}
+	}
+	r.silentAfter--
+	switch {
+	case len(r.events) > 0:
+		id := r.events[0]
+		r.events = r.events[1:]
+		return knapweedpulley.StreamEvent{ID: id, Data: []byte(id + " ")}, nil
+	case r.broken:
+		return knapweedpulley.StreamEvent{}, io.ErrUnexpectedEOF
+	default:
+		return knapweedpulley.StreamEvent{}, io.EOF
+	}
+}
+
+// Close implements knapweedpulley.Reply.
+func (r *scriptedReply) Close() {}
+
+// wait waits for the silence, once.
+func (r *scriptedReply) wait() error {
+	silence := r.silence
+	r.silence = 0
+	select {
+	case <-r.ctx.Done():
+		return r.ctx.Err()
+	case <-time.After(silence):
+		return nil
+	}
+}
+
+// recordedAnswer implements knapweedpulley.AnswerWriter.
+type recordedAnswer struct {
+	heads []int
+	body  strings.Builder
+}
+
+// WriteHead implements knapweedpulley.AnswerWriter.
+func (a *recordedAnswer) WriteHead(head knapweedpulley.AnswerHead) error {
+	a.heads = append(a.heads, head.Status)
+	return nil
+}
+
+// Write implements knapweedpulley.AnswerWriter.
+func (a *recordedAnswer) Write(p []byte) (int, error) {
+	return a.body.Write(p)
+}
+
+// serve serves one call at a new gateway of the deployment and returns what the caller got.
+func (d deployment) serve(t *testing.T) (*recordedAnswer, error) {
+	t.Helper()
+	g := d.newGateway(t)
+	// The follower has read the store once all of its goroutines wait.
+	synctest.Wait()
+	answer := &recordedAnswer{}
+	err := g.Serve(t.Context(), &knapweedpulley.Call{
+		ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now(),
+	}, answer)
+	return answer, err
+}
+
+// assertAnswered asserts that a caller got one head with status 200 and the whole body.
+func assertAnswered(t *testing.T, answer *recordedAnswer, err error, body string) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(answer.heads, []int{http.StatusOK})
+	is.Equal(answer.body.String(), body)
+}
+
+// assertIncomplete asserts that a caller got the start of an answer, and that it doesn't end as
+// a complete one.
+func assertIncomplete(t *testing.T, answer *recordedAnswer, err error, body string) {
+	t.Helper()
+	is := is.New(t)
+	is.True(errors.Is(err, gateway.ErrIncompleteAnswer))
+	is.Equal(answer.heads, []int{http.StatusOK})
+	is.Equal(answer.body.String(), body)
+}
