Cancel a silent exchange only when the call can move elsewhere

Callers saw answers end with a closed connection, or with 502, although their endpoint was still at work. The watchdog of an exchange canceled it after a time without bytes (1.2 s before the first event on a route with a latency target of 0.6 s) and only then asked whether the call may be sent again. Where the retry budget was spent, no other endpoint was there or the others refused the call three times, nothing was left to answer with.

Six of the seven subtests of TestAnswerIsNotCutBySilence failed on: "stream of endpoint 1 broke off after 1 events: context canceled", and the same for whole answers.

The watchdog now cancels only once the next attempt is certain to be made: another endpoint has a free slot, the configuration still admits the call and the budget has granted the retry. Otherwise it checks again later and the exchange goes on. A call that was moved is not given up because of refusals, and waits for the budget as long as its caller waits for the next event.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -126,6 +126,12 @@
 	return e.Registration().Slots
 }
 
+// HasFreeSlot reports whether the endpoint can run one more request at once, as far as is known.
+func (e *Endpoint) HasFreeSlot() bool {
+	slots := e.Slots()
+	return slots == 0 || e.Load() < slots
+}
+
 // Avoided reports whether connections to the endpoint broke recently.
 func (e *Endpoint) Avoided() bool {
 	return knapweedpulley.Instant(e.avoidUntil.Load()).After(e.clock.Now())
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -44,6 +44,10 @@
 	refusals     int
 	// sends counts all attempts.
 	sends int
+	// retryGranted is set if the budget has already granted the next retry, because the watchdog
+	// canceled the attempt. moved is set from then on.
+	retryGranted bool
+	moved        bool
 	// answerStarted is set when writing of the answer to the caller begins. lastEventID is the
 	// id of the last event that the caller has received.
 	answerStarted bool
@@ -113,7 +117,7 @@
 		if err == nil || !retryable {
 			return h.finalError(err)
 		}
-		if !h.mayRetry(err) {
+		if !h.mayRetry(ctx, err) {
 			return h.finalError(err)
 		}
 		h.avoid.Add(e.ID())
@@ -142,29 +146,57 @@
 
 // mayRetry reports whether the call may be sent again after a failed attempt, and takes the
 // retry from the budget if so.
-func (h *callHandler) mayRetry(err error) bool {
-	h.notRetried = h.denyRetry(err)
+func (h *callHandler) mayRetry(ctx context.Context, err error) bool {
+	h.notRetried = h.denyRetry(ctx, err)
 	return h.notRetried == ""
 }
 
 // denyRetry returns why the call may not be sent again after a failed attempt. If it may, it takes
-// the retry from the budget and returns nothing.
-func (h *callHandler) denyRetry(err error) string {
+// the retry from the budget and returns nothing. A call that the gateway has moved away from an
+// endpoint that was still at work is not given up because of refusals or the budget.
+func (h *callHandler) denyRetry(ctx context.Context, err error) string {
 	if h.remaining() < minSendTime {
 		return "deadline"
 	}
+	if h.retryGranted {
+		h.retryGranted, h.moved = false, true
+		return ""
+	}
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
 		h.refusals++
-		if h.refusals >= maxRefusedSends {
+		if h.refusals >= maxRefusedSends && !h.moved {
 			return "refusals"
 		}
 	} else if !h.mayRunAgain() {
 		return "runs"
 	}
-	if !h.RetryBudget.TryWithdraw(h.admission.Service.ID) {
-		return "retryBudget"
+	if h.RetryBudget.TryWithdraw(h.admission.Service.ID) || (h.moved && h.awaitRetry(ctx)) {
+		return ""
+	}
+	return "retryBudget"
+}
+
+// awaitRetry waits until the budget grants a retry, for as long as the caller waits for the next
+// event or for the answer. It reports whether it was granted.
+func (h *callHandler) awaitRetry(ctx context.Context) bool {
+	until := h.deadline.Add(-minSendTime)
+	if callerPatience := h.admission.Route.EventTimeout; callerPatience > 0 {
+		until = min(until, max(h.call.Arrived, h.lastEventAt).Add(callerPatience))
+	}
+	timer := time.NewTimer(refusalBackoff)
+	defer timer.Stop()
+	for h.Clock.Now() < until {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+		}
+		if h.RetryBudget.TryWithdraw(h.admission.Service.ID) {
+			return true
+		}
+		timer.Reset(refusalBackoff)
 	}
-	return ""
+	return false
 }
 
 // mayRunAgain reports whether the call may run once more. Most calls that were running at a crash
@@ -178,20 +210,29 @@
 // readmit checks the call against the current configuration after it has waited: its key may
 // have been withdrawn, or its route may lead to another service.
 func (h *callHandler) readmit() error {
-	s, known := h.Follower.Current()
-	if !known || s.Version == h.admission.Version {
-		return nil
+	version, err := h.checkAdmission(h.call, h.admission.Service.ID, h.admission.Version)
+	h.admission.Version = version
+	return err
+}
+
+// checkAdmission checks whether the configuration in force still admits a call to a service, if it
+// isn't the version that admitted the call before. It returns the version that admits the call.
+func (g *Gateway) checkAdmission(
+	c *knapweedpulley.Call, service knapweedpulley.ServiceID, admitted knapweedpulley.Version,
+) (knapweedpulley.Version, error) {
+	s, known := g.Follower.Current()
+	if !known || s.Version == admitted {
+		return admitted, nil
 	}
-	a, err := s.Admit(h.call)
+	a, err := s.Admit(c)
 	if err != nil {
-		return err
+		return admitted, err
 	}
-	if !includesService(a.Route.Shares, h.admission.Service.ID) {
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeNoEndpoint, knapweedpulley.NotRun,
+	if !includesService(a.Route.Shares, service) {
+		return admitted, knapweedpulley.NewRefusal(knapweedpulley.CodeNoEndpoint, knapweedpulley.NotRun,
 			"route %s no longer leads to the service of the request", a.Route.ID)
 	}
-	h.admission.Version = a.Version
-	return nil
+	return a.Version, nil
 }
 
 func includesService(shares []knapweedpulley.ServiceShare, id knapweedpulley.ServiceID) bool {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -47,11 +47,11 @@
 	}
 	exchangeCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	guard := h.startWatchdog(cancel)
-	defer guard.stop()
+	guard := h.startWatchdog(e, cancel)
 	defer func() {
-		if errors.Is(context.Cause(exchangeCtx), errStalled) {
+		if guard.stop() {
 			h.stalls++
+			h.retryGranted = true
 		}
 	}()
 	reply, err := h.Exchanger.Exchange(exchangeCtx, h.newAttempt(e))
@@ -120,39 +120,6 @@
 	return fleet.Broken
 }
 
-// watchdog cancels an exchange in which the endpoint sends nothing for too long, so that the
-// call can be sent to another endpoint.
-type watchdog struct {
-	timer *time.Timer
-}
-
-// startWatchdog starts a watchdog for an exchange if the call may be sent once more after it.
-// Otherwise it returns nil; a nil watchdog does nothing.
-func (h *callHandler) startWatchdog(cancel context.CancelCauseFunc) *watchdog {
-	r := &h.admission.Route
-	if r.Retry == knapweedpulley.AtMostOnce || h.possibleRuns+1 >= r.MaxAttempts {
-		return nil
-	}
-	timeout := max(minFirstAnswerTimeout, firstAnswerFactor*r.LatencyTarget)
-	if r.Stream {
-		timeout = max(timeout, h.stallTimeout())
-	}
-	return &watchdog{timer: time.AfterFunc(timeout, func() { cancel(errStalled) })}
-}
-
-// reset postpones the cancellation until d from now.
-func (w *watchdog) reset(d time.Duration) {
-	if w != nil {
-		w.timer.Reset(d)
-	}
-}
-
-func (w *watchdog) stop() {
-	if w != nil {
-		w.timer.Stop()
-	}
-}
-
 // stallTimeout returns the time without an event after which a stream counts as dead.
 func (h *callHandler) stallTimeout() time.Duration {
 	return max(minStallTimeout, stallFactor*h.admission.Route.EventGapTarget)
@@ -249,7 +216,7 @@
 				knapweedpulley.MayHaveRun, "stream of endpoint %s broke off after %d events: %v", h.endpoint, h.events, err)
 		}
 		visit.PromptProcessed()
-		guard.reset(h.stallTimeout())
+		guard.postpone(h.stallTimeout())
 		if err := h.writeEvent(reply, event); err != nil {
 			return false, err
 		}
@@ -272,9 +239,6 @@
 	}
 }
 
-// errStalled is the cause with which the watchdog cancels an exchange.
-var errStalled = errors.New("endpoint sent nothing within the time limit")
-
 // writeEvent writes one event to the caller, after the head if it is the first one.
 func (h *callHandler) writeEvent(reply knapweedpulley.Reply, event knapweedpulley.StreamEvent) error {
 	if !h.answerStarted {
--- /dev/null
+++ b/gateway/stall_test.go
@@ -0,0 +1,91 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpulley/knapweedpulley"
+)
+
+// silentPause is longer than every time without bytes after which a call may be moved to another
+// endpoint.
+const silentPause = 1500 * time.Millisecond
+
+// streamDeployment returns a deployment of resumable streams with two endpoints.
+func streamDeployment(answers ...scriptedAnswer) (deployment, *scriptedExchanger) {
+	x := &scriptedExchanger{answers: answers}
+	return deployment{
+		route: knapweedpulley.Route{
+			ID: "chat", Stream: true, Retry: knapweedpulley.Resumable, Timeout: 8 * time.Second,
+			LatencyTarget: 600 * time.Millisecond, EventGapTarget: 300 * time.Millisecond,
+			EventTimeout: 2400 * time.Millisecond, MaxAttempts: 2,
+		},
+		service: knapweedpulley.Service{ID: "s"}, endpoints: []knapweedpulley.EndpointID{"1", "2"}, exchanger: x, retrySlack: 50,
+	}, x
+}
+
+// wholeDeployment returns a deployment of idempotent calls with whole answers.
+func wholeDeployment(answers ...scriptedAnswer) (deployment, *scriptedExchanger) {
+	d, x := streamDeployment(answers...)
+	d.route.Stream, d.route.Retry, d.route.LatencyTarget = false, knapweedpulley.Idempotent, 150*time.Millisecond
+	return d, x
+}
+
+func TestAnswerIsNotCutBySilence(t *testing.T) {
+	silent := scriptedAnswer{silence: silentPause, events: []string{"1", "2", "3"}}
+	full := scriptedAnswer{status: http.StatusServiceUnavailable, notRun: true}
+	inBubble("a stream that pauses after its first event goes on where it is if no retry is left", t, func(t *testing.T) {
+		paused := silent
+		paused.silentAfter = 1
+		d, x := streamDeployment(paused, full)
+		d.retrySlack = 0
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "1 2 3 ")
+		is.New(t).Equal(len(x.attempts()), 1)
+	})
+	inBubble("a silent stream goes on where it is if no retry is left", t, func(t *testing.T) {
+		d, x := streamDeployment(silent, full)
+		d.retrySlack = 0
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "1 2 3 ")
+		is.New(t).Equal(len(x.attempts()), 1)
+	})
+	inBubble("a silent stream goes on where it is if no other endpoint can take it", t, func(t *testing.T) {
+		d, x := streamDeployment(silent, full)
+		d.endpoints = d.endpoints[:1]
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "1 2 3 ")
+		is.New(t).Equal(len(x.attempts()), 1)
+	})
+	inBubble("a silent stream moves to another endpoint that can take it", t, func(t *testing.T) {
+		d, x := streamDeployment(silent, scriptedAnswer{events: []string{"1", "2", "3"}})
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "1 2 3 ")
+		is := is.New(t)
+		sent := x.attempts()
+		is.Equal(len(sent), 2)
+		is.True(sent[0] != sent[1])
+	})
+	inBubble("a moved stream is sent until an endpoint takes it", t, func(t *testing.T) {
+		d, _ := streamDeployment(silent, full, full, full, full, scriptedAnswer{events: []string{"1", "2", "3"}})
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "1 2 3 ")
+	})
+	inBubble("a silent whole answer is awaited if no retry is left", t, func(t *testing.T) {
+		d, x := wholeDeployment(scriptedAnswer{silence: silentPause, body: "balance"}, full)
+		d.retrySlack = 0
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "balance")
+		is.New(t).Equal(len(x.attempts()), 1)
+	})
+	inBubble("a silent whole answer is awaited if no other endpoint can take the call", t, func(t *testing.T) {
+		d, x := wholeDeployment(scriptedAnswer{silence: silentPause, body: "balance"}, full)
+		d.endpoints = d.endpoints[:1]
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "balance")
+		is.New(t).Equal(len(x.attempts()), 1)
+	})
+}
