Keep error answers out of a stream that has begun

Callers found the text of an error in the middle of their stream, and the stream ended as a complete one: a stream broke off, the call was sent on with the last event's id, and the next endpoint answered with an error status. The answer was passed on as if nothing had been written yet, with a second head.

Such an answer now counts as a failed attempt. The call is sent once more if its route allows another run, else the connection is closed, so that the answer can't look complete. On the product's own path an answer that has begun is never sent again.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -227,15 +227,17 @@
 }
 
 // serve serves one call at a new gateway of the deployment and returns what the caller got.
-func (d deployment) serve(t *testing.T) (*recordedAnswer, error) {
+func (d deployment) serve(t *testing.T, changes ...func(*knapweedpulley.Call)) (*recordedAnswer, error) {
 	t.Helper()
 	g := d.newGateway(t)
 	// The follower has read the store once all of its goroutines wait.
 	synctest.Wait()
+	call := &knapweedpulley.Call{ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now()}
+	for _, change := range changes {
+		change(call)
+	}
 	answer := &recordedAnswer{}
-	err := g.Serve(t.Context(), &knapweedpulley.Call{
-		ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now(),
-	}, answer)
+	err := g.Serve(t.Context(), call, answer)
 	return answer, err
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -80,9 +80,13 @@
 		return true, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"endpoint %s sent an answer without its stamp", e.ID())
 	}
-	if h.admission.Route.Stream && reply.Head().Status == http.StatusOK {
+	switch status := reply.Head().Status; {
+	case h.admission.Route.Stream && status == http.StatusOK:
 		retryable, err = h.relayStream(ctx, guard, reply, visit)
-	} else {
+	case h.answerStarted:
+		retryable, err = true, errors.Mark(knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
+			"endpoint %s answered with status %d instead of resuming the stream", e.ID(), status), errEndpointFailed)
+	default:
 		retryable, err = h.copy(reply)
 	}
 	outcome = h.outcome(ctx, e, err)
