Log an answer that broke off as such, and who ended it

A call whose answer had begun and then broke off was logged as "request refused", because the error also carries a refusal: explain counted it by the refusal's code. The end of such a call now also says whether its caller had left.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -115,6 +115,7 @@
 		}
 		retryable, err := h.send(ctx, e)
 		if err == nil || !retryable {
+			h.notRetried = endReason(ctx, err)
 			return h.finalError(err)
 		}
 		if !h.mayRetry(ctx, err) {
@@ -124,6 +125,20 @@
 	}
 }
 
+// endReason returns why a call can't be sent again after an attempt that doesn't allow it.
+func endReason(ctx context.Context, err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "deadline"
+	case ctx.Err() != nil || errors.Is(err, errCallerWrite):
+		return "callerLeft"
+	default:
+		return "route"
+	}
+}
+
 // finalError returns the error of the whole call, derived from that of the last attempt. Its
 // verdict takes all attempts into account.
 func (h *callHandler) finalError(err error) error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,12 +146,14 @@
 	switch {
 	case err == nil:
 		entry.Info("request answered")
+	case errors.Is(err, ErrIncompleteAnswer):
+		entry.WithField("cause", err.Error()).Info("answer broken off")
 	case errors.As(err, &refusal):
 		entry.WithField("code", refusal.Code).WithField("verdict", refusal.Verdict.String()).
 			WithField("cause", refusal.Message).WithField("retryAfterMs", refusal.RetryAfter.Milliseconds()).
 			Info("request refused")
 	default:
-		entry.WithField("cause", err.Error()).Info("answer broken off")
+		entry.WithField("cause", err.Error()).Error("request failed with an unexpected error")
 	}
 }
 
