Start calls of the gateway tests once the store has been read

The fixture took a gateway whose goroutines all wait for one that has read the store, but the follower may be waiting for its turn.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -38,7 +37,8 @@
 	retrySlack float64
 }
 
-// newGateway returns a gateway of the deployment. It must be called in a synctest bubble.
+// newGateway returns a gateway of the deployment once it has read the store. It must be called in a
+// synctest bubble.
 func (d deployment) newGateway(t *testing.T) *gateway.Gateway {
 	t.Helper()
 	clock, logger := fake.Clock{}, logbook.New(io.Discard, log.InfoLevel, "test", "test")
@@ -57,6 +57,9 @@
 		closePlacer()
 		closeDemand()
 	})
+	for !follower.Usable() {
+		time.Sleep(time.Millisecond)
+	}
 	_, _, crashTracker := newCrashTracker()
 	rateLimiter, _ := newRateLimiter()
 	return gateway.New(gateway.Options{
@@ -230,8 +233,6 @@
 func (d deployment) serve(t *testing.T, changes ...func(*knapweedpulley.Call)) (*recordedAnswer, error) {
 	t.Helper()
 	g := d.newGateway(t)
-	// The follower has read the store once all of its goroutines wait.
-	synctest.Wait()
 	call := &knapweedpulley.Call{ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now()}
 	for _, change := range changes {
 		change(call)
