Notice a stream that stops after an early event

The caller of a stream whose endpoint went dark after its first event waited for up to twice the latency target before the stream was resumed: 8.1 s on a route with a target of 4 s. Each event only moved the watchdog's deadline; its timer stayed armed for the first event. An event now arms the timer again.

Endpoints of the fixture no longer count as crashed unless a test says so.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -33,6 +33,8 @@
 	endpoints []knapweedpulley.EndpointID
 	exchanger knapweedpulley.Exchanger
 	keepers   knapweedpulley.KeeperLink
+	// crashing endpoints have ended when an exchange with them breaks off.
+	crashing bool
 	// retrySlack is the number of retries that the operator allows.
 	retrySlack float64
 }
@@ -60,7 +62,8 @@
 	for !follower.Usable() {
 		time.Sleep(time.Millisecond)
 	}
-	_, _, crashTracker := newCrashTracker()
+	_, crashes, crashTracker := newCrashTracker()
+	crashes.ended = d.crashing
 	rateLimiter, _ := newRateLimiter()
 	return gateway.New(gateway.Options{
 		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter, CrashTracker: crashTracker,
@@ -232,7 +235,12 @@
 // serve serves one call at a new gateway of the deployment and returns what the caller got.
 func (d deployment) serve(t *testing.T, changes ...func(*knapweedpulley.Call)) (*recordedAnswer, error) {
 	t.Helper()
-	g := d.newGateway(t)
+	return serveCall(t, d.newGateway(t), changes...)
+}
+
+// serveCall serves one call and returns what the caller got.
+func serveCall(t *testing.T, g *gateway.Gateway, changes ...func(*knapweedpulley.Call)) (*recordedAnswer, error) {
+	t.Helper()
 	call := &knapweedpulley.Call{ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now()}
 	for _, change := range changes {
 		change(call)
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -74,6 +74,14 @@
 		answer, err := d.serve(t)
 		assertAnswered(t, answer, err, "1 2 3 ")
 	})
+	inBubble("a stream whose first event comes at the moment of the timeout goes on", t, func(t *testing.T) {
+		punctual := silent
+		punctual.silence = 1200 * time.Millisecond
+		d, _ := streamDeployment(punctual, full)
+		d.retrySlack = 0
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "1 2 3 ")
+	})
 	inBubble("a silent whole answer is awaited if no retry is left", t, func(t *testing.T) {
 		d, x := wholeDeployment(scriptedAnswer{silence: silentPause, body: "balance"}, full)
 		d.retrySlack = 0
@@ -89,3 +97,19 @@
 		is.New(t).Equal(len(x.attempts()), 1)
 	})
 }
+
+func TestDeadStreamIsResumedInTime(t *testing.T) {
+	for _, target := range []time.Duration{600 * time.Millisecond, 4 * time.Second} {
+		inBubble("after an early event, with a latency target of "+target.String(), t, func(t *testing.T) {
+			d, _ := streamDeployment(
+				scriptedAnswer{silence: time.Minute, silentAfter: 1, events: []string{"1", "2"}},
+				scriptedAnswer{events: []string{"2", "3"}})
+			d.route.LatencyTarget, d.route.Timeout, d.route.EventTimeout = target, time.Minute, 4*target
+			g := d.newGateway(t)
+			began := time.Now()
+			answer, err := serveCall(t, g)
+			assertAnswered(t, answer, err, "1 2 3 ")
+			is.New(t).True(time.Since(began) < 1500*time.Millisecond)
+		})
+	}
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -73,7 +73,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped || w.canceled {
+		return
+	}
 	w.silentUntil = w.gateway.Clock.Now().Add(d)
+	w.timer.Reset(d)
 }
 
 // stop ends the watchdog and reports whether it has canceled the exchange.
