Check a content for crashes again before a moved call is sent

A content that had crashed two endpoints was sent to a third: the watchdog granted the next attempt before the second crash was known, and a granted attempt was made without a further look. The watchdog could also still grant one after its exchange had broken off by itself, while that was checked for a crash.

The watchdog now ends with its exchange, and a granted attempt is checked like any other.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -175,6 +175,10 @@
 	}
 	if h.retryGranted {
 		h.retryGranted, h.moved = false, true
+		if !h.mayRunAgain() {
+			// The endpoint may have turned out to have crashed.
+			return "runs"
+		}
 		return ""
 	}
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -48,14 +48,10 @@
 	exchangeCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	guard := h.startWatchdog(e, cancel)
-	defer func() {
-		if guard.stop() {
-			h.stalls++
-			h.retryGranted = true
-		}
-	}()
+	defer h.endWatch(guard)
 	reply, err := h.Exchanger.Exchange(exchangeCtx, h.newAttempt(e))
 	if err != nil {
+		h.endWatch(guard)
 		if knapweedpulley.VerdictOf(err) == knapweedpulley.MayHaveRun {
 			h.possibleRuns++
 		}
@@ -89,10 +85,20 @@
 	default:
 		retryable, err = h.copy(reply)
 	}
+	h.endWatch(guard)
 	outcome = h.outcome(ctx, e, err)
 	return retryable, err
 }
 
+// endWatch stops the watchdog of an exchange, and records the retry that it was granted if it has
+// canceled the exchange.
+func (h *callHandler) endWatch(guard *watchdog) {
+	if guard.stop() {
+		h.stalls++
+		h.retryGranted = true
+	}
+}
+
 // outcome returns the endpoint's outcome after its answer ended.
 func (h *callHandler) outcome(ctx context.Context, e *fleet.Endpoint, err error) fleet.Outcome {
 	switch {
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -113,3 +113,13 @@
 		})
 	}
 }
+
+func TestMovedCallStaysWithinCrashLimit(t *testing.T) {
+	inBubble("a content that crashed two endpoints isn't sent on", t, func(t *testing.T) {
+		d, x := streamDeployment(scriptedAnswer{broken: true},
+			scriptedAnswer{silence: 3 * time.Second, events: []string{"1"}}, scriptedAnswer{events: []string{"1"}})
+		d.endpoints, d.route.MaxAttempts, d.crashing = []knapweedpulley.EndpointID{"1", "2", "3"}, 4, true
+		_, _ = d.serve(t, func(c *knapweedpulley.Call) { c.Fingerprint = 7 })
+		is.New(t).Equal(len(x.attempts()), 2)
+	})
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -80,13 +80,16 @@
 	w.timer.Reset(d)
 }
 
-// stop ends the watchdog and reports whether it has canceled the exchange.
+// stop ends the watchdog. It reports whether the watchdog has canceled the exchange, once.
 func (w *watchdog) stop() bool {
 	if w == nil {
 		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return false
+	}
 	w.stopped = true
 	w.timer.Stop()
 	return w.canceled
