Let a whole answer go on while its bytes arrive

Callers saw a whole answer end in the middle though its endpoint was sending it: the watchdog of the exchange was neither postponed by bytes of a whole answer nor stopped when they were passed on. An answer that took longer than twice the latency target was sent for again, and one of over 256 KiB was cut.

Bytes now postpone the watchdog, and it ends before the answer is passed on.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -111,6 +111,9 @@
 	events []string
 	broken bool
 	body   string
+	// partSize is the size in bytes of the parts of the body, each of which comes after partPause.
+	partSize  int
+	partPause time.Duration
 }
 
 // scriptedExchanger plays one scripted answer per attempt, in order, and then the last one
@@ -174,9 +177,16 @@
 
 // Read implements knapweedpulley.Reply.
 func (r *scriptedReply) Read(p []byte) (int, error) {
+	if r.partSize > 0 && r.body.Len()%r.partSize == 0 && r.body.Len() > 0 {
+		r.silence = r.partPause
+	}
 	if err := r.wait(); err != nil {
 		return 0, err
 	}
+	if r.partSize > 0 && r.body.Len() > 0 {
+		rest := (r.body.Len()-1)%r.partSize + 1
+		p = p[:min(len(p), rest)]
+	}
 	return r.body.Read(p)
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -83,7 +83,7 @@
 		retryable, err = true, errors.Mark(knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"endpoint %s answered with status %d instead of resuming the stream", e.ID(), status), errEndpointFailed)
 	default:
-		retryable, err = h.copy(reply)
+		retryable, err = h.copy(guard, reply)
 	}
 	h.endWatch(guard)
 	outcome = h.outcome(ctx, e, err)
@@ -157,9 +157,13 @@
 
 // copy passes an answer on to the caller. An answer of up to wholeAnswerSize is read whole first,
 // so that the call can still be sent to another endpoint if the answer breaks off.
-func (h *callHandler) copy(reply knapweedpulley.Reply) (bool, error) {
+func (h *callHandler) copy(guard *watchdog, reply knapweedpulley.Reply) (bool, error) {
 	head := reply.Head()
-	start, err := io.ReadAll(io.LimitReader(reply, wholeAnswerSize))
+	start, err := io.ReadAll(io.LimitReader(watchedReader{reply, guard}, wholeAnswerSize))
+	h.endWatch(guard)
+	if err == nil && h.retryGranted && int64(len(start)) == wholeAnswerSize {
+		err = errStalled
+	}
 	if err != nil {
 		return true, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"answer of endpoint %s broke off: %v", h.endpoint, err)
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,3 +125,17 @@
 		is.New(t).Equal(len(x.attempts()), 2)
 	})
 }
+
+func TestWholeAnswerGoesOnWhileItsBytesArrive(t *testing.T) {
+	for _, size := range []int{1000, 300 << 10} {
+		inBubble(strconv.Itoa(size)+" bytes at a time", t, func(t *testing.T) {
+			const parts = 10
+			d, x := wholeDeployment(scriptedAnswer{
+				body: strings.Repeat("x", parts*size), partSize: size, partPause: 100 * time.Millisecond,
+			})
+			answer, err := d.serve(t)
+			assertAnswered(t, answer, err, strings.Repeat("x", parts*size))
+			is.New(t).Equal(len(x.attempts()), 1)
+		})
+	}
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	// need excludes the silent endpoint.
 	need   fleet.Requirements
 	cancel context.CancelCauseFunc
+	// timeout is how long the endpoint may be silent at first.
+	timeout time.Duration
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -56,7 +59,7 @@
 	}
 	w := &watchdog{
 		gateway: h.Gateway, call: h.call, service: h.admission.Service.ID, version: h.admission.Version,
-		need: h.need(), cancel: cancel, silentUntil: h.Clock.Now().Add(timeout),
+		need: h.need(), cancel: cancel, timeout: timeout, silentUntil: h.Clock.Now().Add(timeout),
 	}
 	w.need.Avoid = maps.Clone(h.avoid)
 	w.need.Avoid.Add(e.ID())
@@ -80,6 +83,21 @@
 	w.timer.Reset(d)
 }
 
+// watchedReader reads an answer and allows the endpoint to be silent again after each read.
+type watchedReader struct {
+	io.Reader
+	guard *watchdog
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 && r.guard != nil {
+		r.guard.postpone(r.guard.timeout)
+	}
+	return n, err
+}
+
 // stop ends the watchdog. It reports whether the watchdog has canceled the exchange, once.
 func (w *watchdog) stop() bool {
 	if w == nil {
