Reserve the slot to which a silent call moves

Several streams of a silent endpoint could see the same free slot elsewhere. Each gave up an exchange that would have gone on; all but one were then refused, and some ended without an answer when the retry budget was spent.

The watchdog begins the request at the other endpoint before it cancels, so that its slot is counted, and the call is sent to just that endpoint.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -126,12 +126,6 @@
 	return e.Registration().Slots
 }
 
-// HasFreeSlot reports whether the endpoint can run one more request at once, as far as is known.
-func (e *Endpoint) HasFreeSlot() bool {
-	slots := e.Slots()
-	return slots == 0 || e.Load() < slots
-}
-
 // Avoided reports whether connections to the endpoint broke recently.
 func (e *Endpoint) Avoided() bool {
 	return knapweedpulley.Instant(e.avoidUntil.Load()).After(e.clock.Now())
@@ -190,6 +184,16 @@
 	return r
 }
 
+// TryBeginRequest does the same as BeginRequest if the endpoint has a free slot for the request.
+func (e *Endpoint) TryBeginRequest(prompt knapweedpulley.Tokens) (*ActiveRequest, bool) {
+	r := e.BeginRequest(prompt)
+	if slots := e.Slots(); slots > 0 && e.Load() > slots {
+		r.End(Inconclusive)
+		return nil, false
+	}
+	return r, true
+}
+
 // PromptProcessed records that the endpoint has processed the prompt.
 func (r *ActiveRequest) PromptProcessed() {
 	if r.prefilling.CompareAndSwap(true, false) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,3 +183,36 @@
 		is.Equal(len(list), 2)
 	})
 }
+
+func TestReservedRequestsStayWithinSlots(t *testing.T) {
+	inBubble("of many that begin at once", t, func(t *testing.T, f *fleet.Fleet) {
+		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m")})
+		e := f.Endpoints()["a"]
+		var begun atomic.Int32
+		var group sync.WaitGroup
+		for range 100 {
+			group.Go(func() {
+				if _, ok := e.TryBeginRequest(1); ok {
+					begun.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		is := is.New(t)
+		is.True(begun.Load() <= int32(e.Slots()))
+		is.Equal(e.Active(), int(begun.Load()))
+	})
+	inBubble("and a slot is free again after its request", t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		r := registration("a", "home", "m")
+		r.Slots = 1
+		f.Update([]knapweedpulley.RegisteredEndpoint{r})
+		first, ok := f.Endpoints()["a"].TryBeginRequest(1)
+		is.True(ok)
+		_, ok = first.TryBeginRequest(1)
+		is.True(!ok)
+		first.End(fleet.Answered)
+		_, ok = first.TryBeginRequest(1)
+		is.True(ok)
+	})
+}
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -44,10 +44,10 @@
 	refusals     int
 	// sends counts all attempts.
 	sends int
-	// retryGranted is set if the budget has already granted the next retry, because the watchdog
-	// canceled the attempt. moved is set from then on.
-	retryGranted bool
-	moved        bool
+	// next is the request that the watchdog has begun at another endpoint when it canceled the
+	// attempt. moved is set from then on.
+	next  *fleet.ActiveRequest
+	moved bool
 	// answerStarted is set when writing of the answer to the caller begins. lastEventID is the
 	// id of the last event that the caller has received.
 	answerStarted bool
@@ -105,15 +105,17 @@
 
 // sendUntilDone sends the call until it is answered or must not be retried.
 func (h *callHandler) sendUntilDone(ctx context.Context) error {
+	defer func() {
+		if h.next != nil {
+			h.next.End(fleet.Inconclusive)
+		}
+	}()
 	for {
-		e, err := h.findEndpoint(ctx)
+		visit, err := h.begin(ctx)
 		if err != nil {
 			return h.finalError(err)
 		}
-		if err := h.readmit(); err != nil {
-			return h.finalError(err)
-		}
-		retryable, err := h.send(ctx, e)
+		retryable, err := h.send(ctx, visit)
 		if err == nil || !retryable {
 			h.notRetried = endReason(ctx, err)
 			return h.finalError(err)
@@ -121,8 +123,26 @@
 		if !h.mayRetry(ctx, err) {
 			return h.finalError(err)
 		}
-		h.avoid.Add(e.ID())
+		h.avoid.Add(visit.ID())
+	}
+}
+
+// begin begins the call at the endpoint for the next attempt.
+func (h *callHandler) begin(ctx context.Context) (*fleet.ActiveRequest, error) {
+	visit := h.next
+	h.next = nil
+	if visit == nil {
+		e, err := h.findEndpoint(ctx)
+		if err != nil {
+			return nil, err
+		}
+		visit = e.BeginRequest(h.call.Prompt)
+	}
+	if err := h.readmit(); err != nil {
+		visit.End(fleet.Inconclusive)
+		return nil, err
 	}
+	return visit, nil
 }
 
 // endReason returns why a call can't be sent again after an attempt that doesn't allow it.
@@ -173,8 +193,8 @@
 	if h.remaining() < minSendTime {
 		return "deadline"
 	}
-	if h.retryGranted {
-		h.retryGranted, h.moved = false, true
+	if h.next != nil {
+		h.moved = true
 		if !h.mayRunAgain() {
 			// The endpoint may have turned out to have crashed.
 			return "runs"
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -32,14 +32,14 @@
 
 // send makes one attempt at the call. retryable reports whether another endpoint could still
 // serve the call after the error.
-func (h *callHandler) send(ctx context.Context, e *fleet.Endpoint) (retryable bool, err error) {
+func (h *callHandler) send(ctx context.Context, visit *fleet.ActiveRequest) (retryable bool, err error) {
+	e := visit.Endpoint
 	h.sends++
 	h.endpoint = e.ID()
-	h.loadAtChoice = e.Load()
+	h.loadAtChoice = max(0, e.Load()-1)
 	if h.call.Weights().Model != "" {
 		h.Placer.ScaleOut(h.loadRequest(), h.loadAtChoice)
 	}
-	visit := e.BeginRequest(h.call.Prompt)
 	outcome := fleet.Inconclusive
 	defer func() { visit.End(outcome) }()
 	if h.call.Weights().Model != "" {
@@ -93,9 +93,9 @@
 // endWatch stops the watchdog of an exchange, and records the retry that it was granted if it has
 // canceled the exchange.
 func (h *callHandler) endWatch(guard *watchdog) {
-	if guard.stop() {
+	if next := guard.stop(); next != nil {
 		h.stalls++
-		h.retryGranted = true
+		h.next = next
 	}
 }
 
@@ -161,7 +161,7 @@
 	head := reply.Head()
 	start, err := io.ReadAll(io.LimitReader(watchedReader{reply, guard}, wholeAnswerSize))
 	h.endWatch(guard)
-	if err == nil && h.retryGranted && int64(len(start)) == wholeAnswerSize {
+	if err == nil && h.next != nil && int64(len(start)) == wholeAnswerSize {
 		err = errStalled
 	}
 	if err != nil {
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -1,10 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -139,3 +142,55 @@
 		})
 	}
 }
+
+// slowExchanger is silent at endpoint 1 and takes its time at endpoint 2, and records the largest
+// number of attempts that endpoint 2 had at once.
+type slowExchanger struct {
+	*scriptedExchanger
+	active, most int
+}
+
+// Exchange implements knapweedpulley.Exchanger.
+func (x *slowExchanger) Exchange(ctx context.Context, a knapweedpulley.Attempt) (knapweedpulley.Reply, error) {
+	answer := scriptedAnswer{silence: silentPause, events: []string{"1"}}
+	if a.Endpoint == "2" {
+		answer.silence = 800 * time.Millisecond
+		x.mu.Lock()
+		x.active++
+		x.most = max(x.most, x.active)
+		x.mu.Unlock()
+		defer time.AfterFunc(answer.silence, func() {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.active--
+		})
+	}
+	return &scriptedReply{ctx: ctx, scriptedAnswer: answer, body: strings.NewReader("")}, nil
+}
+
+func TestSilentStreamsDoNotOverfillAnEndpoint(t *testing.T) {
+	inBubble("that has one free slot", t, func(t *testing.T) {
+		is := is.New(t)
+		d, scripted := streamDeployment()
+		x := &slowExchanger{scriptedExchanger: scripted}
+		d.exchanger = x
+		g := d.newGateway(t)
+		var group sync.WaitGroup
+		for range 8 {
+			group.Go(func() {
+				answer, err := serveCall(t, g)
+				assertAnswered(t, answer, err, "1 ")
+			})
+			synctest.Wait()
+		}
+		// Endpoint 2 has ended its first four calls and gets three more before those at endpoint 1
+		// can move.
+		time.Sleep(900 * time.Millisecond)
+		for range 3 {
+			group.Go(func() { _, _ = serveCall(t, g) })
+			synctest.Wait()
+		}
+		group.Wait()
+		is.True(x.most <= 4)
+	})
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -22,8 +22,8 @@
 
 // watchdog cancels an exchange in which the endpoint has sent nothing for too long, so that the
 // call can move to another endpoint. A sound endpoint may be silent for a while, so the watchdog
-// cancels only once the next attempt is certain to be made: another endpoint has a free slot, the
-// configuration still admits the call and the retry budget has granted the retry.
+// cancels only once the next attempt is certain to be made: a slot of another endpoint is reserved,
+// the configuration still admits the call and the retry budget has granted the retry.
 //
 // A nil watchdog does nothing.
 type watchdog struct {
@@ -43,7 +43,9 @@
 	// silentUntil is when the endpoint will have been silent for too long.
 	silentUntil knapweedpulley.Instant
 	stopped     bool
-	canceled    bool
+	// next is the request at the endpoint to which the call moves. It is set once the exchange has
+	// been canceled.
+	next *fleet.ActiveRequest
 }
 
 // startWatchdog starts a watchdog for an exchange with e if the call may run once more after it.
@@ -76,7 +78,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || w.canceled {
+	if w.stopped || w.next != nil {
 		return
 	}
 	w.silentUntil = w.gateway.Clock.Now().Add(d)
@@ -98,48 +100,58 @@
 	return n, err
 }
 
-// stop ends the watchdog. It reports whether the watchdog has canceled the exchange, once.
-func (w *watchdog) stop() bool {
+// stop ends the watchdog. If the watchdog has canceled the exchange, it returns the request at the
+// endpoint to which the call moves, once.
+func (w *watchdog) stop() *fleet.ActiveRequest {
 	if w == nil {
-		return false
+		return nil
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
-		return false
-	}
 	w.stopped = true
 	w.timer.Stop()
-	return w.canceled
+	next := w.next
+	w.next = nil
+	return next
 }
 
 // expire cancels the exchange if the endpoint has been silent for too long and the call can move.
 func (w *watchdog) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	left := w.silentUntil.Sub(w.gateway.Clock.Now())
-	switch {
-	case w.stopped:
-	case left > 0:
+	if w.stopped || w.next != nil {
+		return
+	}
+	if left := w.silentUntil.Sub(w.gateway.Clock.Now()); left > 0 {
 		w.timer.Reset(left)
-	case w.grantMove():
-		w.canceled = true
-		w.cancel(errStalled)
-	default:
+		return
+	}
+	next, granted := w.grantMove()
+	if !granted {
 		w.timer.Reset(moveRecheckPeriod)
+		return
 	}
+	w.next = next
+	w.cancel(errStalled)
 }
 
-// grantMove reports whether the call can move to another endpoint now, and takes the retry from the
-// budget if so.
-func (w *watchdog) grantMove() bool {
+// grantMove begins the call at another endpoint if it can move there now, and takes the retry from
+// the budget.
+func (w *watchdog) grantMove() (*fleet.ActiveRequest, bool) {
 	e, found := w.gateway.Fleet.Choose(w.need)
-	if !found || e.Avoided() || !e.HasFreeSlot() {
-		return false
+	if !found || e.Avoided() || w.gateway.CrashTracker.State(w.call.Fingerprint) == knapweedpulley.SuspectRefuse {
+		return nil, false
 	}
 	if _, err := w.gateway.checkAdmission(w.call, w.service, w.version); err != nil {
-		return false
+		return nil, false
+	}
+	next, free := e.TryBeginRequest(w.call.Prompt)
+	if !free {
+		return nil, false
+	}
+	if !w.gateway.RetryBudget.TryWithdraw(w.service) {
+		next.End(fleet.Inconclusive)
+		return nil, false
 	}
-	return w.gateway.CrashTracker.State(w.call.Fingerprint) != knapweedpulley.SuspectRefuse &&
-		w.gateway.RetryBudget.TryWithdraw(w.service)
+	return next, true
 }
