--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// maxRefusedSends bounds the attempts of one call that endpoints refuse.
-	maxRefusedSends = 3
+	// maxRefusedSends bounds the attempts of one call that endpoints refuse, maxMovedRefusals those
+	// of a call that the gateway has moved away from an endpoint.
+	maxRefusedSends  = 3
+	maxMovedRefusals = 6
 	// endpointWait is how long a call waits for a service without engines to get an endpoint.
 	// It is short because an early refusal costs the caller least.
 	endpointWait = 100 * time.Millisecond
@@ -203,7 +205,7 @@
 	}
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
 		h.refusals++
-		if h.refusals >= maxRefusedSends && !h.moved {
+		if h.refusals >= h.maxRefusals() {
 			return "refusals"
 		}
 	} else if !h.mayRunAgain() {
@@ -215,13 +217,26 @@
 	return "retryBudget"
 }
 
+func (h *callHandler) maxRefusals() int {
+	if h.moved {
+		return maxMovedRefusals
+	}
+	return maxRefusedSends
+}
+
+// callerPatienceEnd returns until when the caller waits for the next event or for the answer.
+func (h *callHandler) callerPatienceEnd() knapweedpulley.Instant {
+	until := h.deadline.Add(-minSendTime)
+	if patience := h.admission.Route.EventTimeout; patience > 0 {
+		until = min(until, max(h.call.Arrived, h.lastEventAt).Add(patience))
+	}
+	return until
+}
+
 // awaitRetry waits until the budget grants a retry, for as long as the caller waits for the next
 // event or for the answer. It reports whether it was granted.
 func (h *callHandler) awaitRetry(ctx context.Context) bool {
-	until := h.deadline.Add(-minSendTime)
-	if callerPatience := h.admission.Route.EventTimeout; callerPatience > 0 {
-		until = min(until, max(h.call.Arrived, h.lastEventAt).Add(callerPatience))
-	}
+	until := h.callerPatienceEnd()
 	timer := time.NewTimer(refusalBackoff)
 	defer timer.Stop()
 	for h.Clock.Now() < until {
@@ -312,9 +327,14 @@
 	}
 }
 
-// backOff waits for refusalBackoff or a change of the fleet, whichever comes first.
+// backOff waits for refusalBackoff or a change of the fleet, whichever comes first. For a moved call,
+// which may be refused more often, the time doubles with each refusal.
 func (h *callHandler) backOff(ctx context.Context, changed <-chan struct{}) {
-	timer := time.NewTimer(refusalBackoff)
+	wait := refusalBackoff
+	if h.moved {
+		wait <<= max(0, h.refusals-1)
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-changed:
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -194,3 +194,15 @@
 		is.True(x.most <= 4)
 	})
 }
+
+func TestMovedCallLeavesRetriesForOthers(t *testing.T) {
+	full := scriptedAnswer{status: http.StatusServiceUnavailable, notRun: true}
+	inBubble("while all other endpoints refuse it", t, func(t *testing.T) {
+		d, x := streamDeployment(scriptedAnswer{silence: silentPause, events: []string{"1"}}, full)
+		answer, err := d.serve(t)
+		is := is.New(t)
+		is.True(err != nil)
+		is.Equal(len(answer.heads), 0)
+		is.True(len(x.attempts()) <= 8)
+	})
+}
