Don't take a slow caller for a silent endpoint

A caller that read an event slowly had its stream run a second time: the watchdog counted the time in which the gateway wrote to the caller as silence of the endpoint. That cost a retry and a run, and the sound endpoint was avoided.

The watchdog is suspended while an event is written.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -199,6 +199,8 @@
 	}
 	r.silentAfter--
 	switch {
+	case r.ctx.Err() != nil:
+		return knapweedpulley.StreamEvent{}, r.ctx.Err()
 	case len(r.events) > 0:
 		id := r.events[0]
 		r.events = r.events[1:]
@@ -248,10 +250,15 @@
 	return serveCall(t, d.newGateway(t), changes...)
 }
 
+// newCall returns a call of the deployment's route.
+func newCall() *knapweedpulley.Call {
+	return &knapweedpulley.Call{ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now()}
+}
+
 // serveCall serves one call and returns what the caller got.
 func serveCall(t *testing.T, g *gateway.Gateway, changes ...func(*knapweedpulley.Call)) (*recordedAnswer, error) {
 	t.Helper()
-	call := &knapweedpulley.Call{ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now()}
+	call := newCall()
 	for _, change := range changes {
 		change(call)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -230,10 +230,11 @@
 				knapweedpulley.MayHaveRun, "stream of endpoint %s broke off after %d events: %v", h.endpoint, h.events, err)
 		}
 		visit.PromptProcessed()
-		guard.postpone(h.stallTimeout())
+		guard.suspend()
 		if err := h.writeEvent(reply, event); err != nil {
 			return false, err
 		}
+		guard.postpone(h.stallTimeout())
 	}
 }
 
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -206,3 +206,27 @@
 		is.True(len(x.attempts()) <= 8)
 	})
 }
+
+func TestSlowCallerIsNotTakenForSilentEndpoint(t *testing.T) {
+	inBubble("while an event is written", t, func(t *testing.T) {
+		is := is.New(t)
+		d, x := streamDeployment(scriptedAnswer{events: []string{"1", "2", "3"}})
+		g := d.newGateway(t)
+		answer := &slowAnswer{pause: silentPause}
+		is.NoErr(g.Serve(t.Context(), newCall(), answer))
+		is.Equal(answer.body.String(), "1 2 3 ")
+		is.Equal(len(x.attempts()), 1)
+	})
+}
+
+// slowAnswer is an answer whose caller takes a while to read each part.
+type slowAnswer struct {
+	recordedAnswer
+	pause time.Duration
+}
+
+// Write implements knapweedpulley.AnswerWriter.
+func (a *slowAnswer) Write(p []byte) (int, error) {
+	time.Sleep(a.pause)
+	return a.recordedAnswer.Write(p)
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -85,6 +86,17 @@
 	w.timer.Reset(d)
 }
 
+// suspend allows the endpoint to be silent until the next call of postpone.
+func (w *watchdog) suspend() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silentUntil = math.MaxInt64
+	w.timer.Stop()
+}
+
 // watchedReader reads an answer and allows the endpoint to be silent again after each read.
 type watchedReader struct {
 	io.Reader
