Move a silent call without waiting for the crash check

A stream that left a silent endpoint went on only after the gateway had tried to connect to that endpoint, up to 0.7 s if it is dark. Meanwhile the reserved slot was idle, and a caller may leave.

A moved call waits 50 ms for the result; the check itself goes on.

--- a/gateway/crashtracker_test.go
+++ b/gateway/crashtracker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -17,14 +18,18 @@
 	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
 
-// fakeExchanger reports all endpoints as ended or as running, and sends nothing.
-type fakeExchanger struct{ ended bool }
+// fakeExchanger reports all endpoints as ended or as running after a delay, and sends nothing.
+type fakeExchanger struct {
+	ended bool
+	delay time.Duration
+}
 
 func (e *fakeExchanger) Exchange(context.Context, knapweedpulley.Attempt) (knapweedpulley.Reply, error) {
 	return nil, errors.New("exchange is not supported by the fake")
 }
 
 func (e *fakeExchanger) RefusesConnections(context.Context, string) bool {
+	time.Sleep(e.delay)
 	return e.ended
 }
 
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -33,8 +33,10 @@
 	endpoints []knapweedpulley.EndpointID
 	exchanger knapweedpulley.Exchanger
 	keepers   knapweedpulley.KeeperLink
-	// crashing endpoints have ended when an exchange with them breaks off.
-	crashing bool
+	// crashing endpoints have ended when an exchange with them breaks off. crashCheckTime is how
+	// long it takes to find out.
+	crashing       bool
+	crashCheckTime time.Duration
 	// retrySlack is the number of retries that the operator allows.
 	retrySlack float64
 }
@@ -63,7 +65,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	_, crashes, crashTracker := newCrashTracker()
-	crashes.ended = d.crashing
+	crashes.ended, crashes.delay = d.crashing, d.crashCheckTime
 	rateLimiter, _ := newRateLimiter()
 	return gateway.New(gateway.Options{
 		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter, CrashTracker: crashTracker,
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,6 +24,9 @@
 	firstAnswerFactor = 2
 	// minFirstAnswerTimeout is the shortest such wait.
 	minFirstAnswerTimeout = 250 * time.Millisecond
+	// moveCheckTime is how long a call that moves waits for the result of the check whether its
+	// endpoint has crashed.
+	moveCheckTime = 50 * time.Millisecond
 	// wholeAnswerSize is the size in bytes up to which an answer is read whole before it is passed
 	// on. copyBufferSize is the size of the parts in which the rest is passed on.
 	wholeAnswerSize = int64(256 * knapweedpulley.KiB)
@@ -126,10 +129,31 @@
 		}
 		return fleet.Broken
 	}
-	h.CrashTracker.HandleBrokenExchange(e, h.call.Fingerprint)
+	h.checkCrash(e)
 	return fleet.Broken
 }
 
+// checkCrash checks whether the endpoint has crashed. A call that moves waits only for a quick
+// result, as its endpoint may be dark.
+func (h *callHandler) checkCrash(e *fleet.Endpoint) {
+	if h.next == nil {
+		h.CrashTracker.HandleBrokenExchange(e, h.call.Fingerprint)
+		return
+	}
+	done := make(chan struct{})
+	content := h.call.Fingerprint
+	go func() {
+		defer close(done)
+		h.CrashTracker.HandleBrokenExchange(e, content)
+	}()
+	timer := time.NewTimer(moveCheckTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
 // stallTimeout returns the time without an event after which a stream counts as dead.
 func (h *callHandler) stallTimeout() time.Duration {
 	return max(minStallTimeout, stallFactor*h.admission.Route.EventGapTarget)
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -230,3 +230,17 @@
 	time.Sleep(a.pause)
 	return a.recordedAnswer.Write(p)
 }
+
+func TestMoveDoesNotWaitForCrashCheck(t *testing.T) {
+	inBubble("of an endpoint that answers no connection", t, func(t *testing.T) {
+		d, _ := streamDeployment(
+			scriptedAnswer{silence: time.Minute, silentAfter: 1, events: []string{"1", "2"}},
+			scriptedAnswer{events: []string{"2", "3"}})
+		d.crashCheckTime = 700 * time.Millisecond
+		g := d.newGateway(t)
+		began := time.Now()
+		answer, err := serveCall(t, g)
+		assertAnswered(t, answer, err, "1 2 3 ")
+		is.New(t).True(time.Since(began) < 1200*time.Millisecond)
+	})
+}
