Prefer other endpoints while one is silent

A silent endpoint from which no call could move got new calls like any other. They found its silence one after the other.

An endpoint counts as avoided while an exchange there is silent for too long, so that it is chosen only if there is no other.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -226,10 +226,19 @@
 	e.failureRate.Store(math.Float64bits(last + failureWeight*(failure-last)))
 }
 
+// Avoid has the endpoint avoided for d from now.
+func (e *Endpoint) Avoid(d time.Duration) {
+	until := int64(e.clock.Now().Add(d))
+	for last := e.avoidUntil.Load(); last < until; last = e.avoidUntil.Load() {
+		if e.avoidUntil.CompareAndSwap(last, until) {
+			return
+		}
+	}
+}
+
 // backOff has the endpoint avoided for a time that doubles with each broken
 // connection in a row.
 func (e *Endpoint) backOff() {
 	n := e.brokenInRow.Add(1)
-	d := min(maxAvoidTime, minAvoidTime<<min(n-1, 8))
-	e.avoidUntil.Store(int64(e.clock.Now().Add(d)))
+	e.Avoid(min(maxAvoidTime, minAvoidTime<<min(n-1, 8)))
 }
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -244,3 +244,28 @@
 		is.New(t).True(time.Since(began) < 1200*time.Millisecond)
 	})
 }
+
+func TestSilentEndpointGetsNoNewCalls(t *testing.T) {
+	inBubble("while another is there", t, func(t *testing.T) {
+		d, x := streamDeployment(scriptedAnswer{silence: 5 * time.Second, events: []string{"1"}})
+		d.retrySlack = 0
+		g := d.newGateway(t)
+		var group sync.WaitGroup
+		defer group.Wait()
+		start := func() {
+			group.Go(func() { _, _ = serveCall(t, g) })
+			synctest.Wait()
+		}
+		start()
+		time.Sleep(1300 * time.Millisecond)
+		for range 3 {
+			start()
+		}
+		sent := x.attempts()
+		is := is.New(t)
+		is.Equal(len(sent), 4)
+		for _, id := range sent[1:] {
+			is.True(id != sent[0])
+		}
+	})
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -33,9 +33,10 @@
 	service knapweedpulley.ServiceID
 	// version is the configuration that admitted the call.
 	version knapweedpulley.Version
-	// need excludes the silent endpoint.
-	need   fleet.Requirements
-	cancel context.CancelCauseFunc
+	// endpoint is the one that is watched; need excludes it.
+	endpoint *fleet.Endpoint
+	need     fleet.Requirements
+	cancel   context.CancelCauseFunc
 	// timeout is how long the endpoint may be silent at first.
 	timeout time.Duration
 
@@ -62,7 +63,7 @@
 	}
 	w := &watchdog{
 		gateway: h.Gateway, call: h.call, service: h.admission.Service.ID, version: h.admission.Version,
-		need: h.need(), cancel: cancel, timeout: timeout, silentUntil: h.Clock.Now().Add(timeout),
+		endpoint: e, need: h.need(), cancel: cancel, timeout: timeout, silentUntil: h.Clock.Now().Add(timeout),
 	}
 	w.need.Avoid = maps.Clone(h.avoid)
 	w.need.Avoid.Add(e.ID())
@@ -140,6 +141,7 @@
 	}
 	next, granted := w.grantMove()
 	if !granted {
+		w.endpoint.Avoid(2 * moveRecheckPeriod)
 		w.timer.Reset(moveRecheckPeriod)
 		return
 	}
