Let the crash check of a test end in its bubble

TestMoveDoesNotWaitForCrashCheck left the goroutine of the check behind, for which its bubble panicked.

--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -242,6 +242,8 @@
 		answer, err := serveCall(t, g)
 		assertAnswered(t, answer, err, "1 2 3 ")
 		is.New(t).True(time.Since(began) < 1200*time.Millisecond)
+		// The check goes on after the call.
+		time.Sleep(d.crashCheckTime)
 	})
 }
 
