Don't take a repeated refusal for that of another request

Callers would have got 503 with the promise "not run" for a request that an endpoint was running, or the request was sent again and ran twice although its route allows one run.

An endpoint that writes an earlier refusal once more on a kept connection, just after the next request was written, met no check. A refusal may lack the request's id, so that without one it passed for the answer to any request. One with an id passed where the gateway came back to the same endpoint with the same request over the same connection, as it does when all endpoints have refused. Copies that arrive at once, while the connection is idle or within the next answer were already handled.

The pool now remembers on a connection the ids of the requests refused over it and sends none of these over it again, so that a copy names another request than the one awaited and is skipped. After a refusal that names no request the connection is not kept: nothing would tell the copy from the next refusal. Every refusal that is believed is thus either the first of its id on its connection or the connection's first without an id.

Closing the connection after every refusal would have been simpler. It was not taken, because endpoints that are full bound the connections they accept and a new one may hold a slot. The way taken costs sound endpoints that echo ids one connection in 64 refusals, and one if a request comes back to the same endpoint; a refusal without an id costs one connection. How often that happens on the sites was not measured.

--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +48,9 @@
 	// that is skipped. An endpoint in trouble may send without end.
 	maxHeadSize    = int64(64 * knapweedpulley.KiB)
 	maxSkippedSize = int64(knapweedpulley.MiB)
+	// maxRefusedIDs bounds the number of refused requests that are remembered for a connection.
+	// The connection is closed after that many.
+	maxRefusedIDs = 64
 	// maxErrorSize bounds the part of an endpoint's bytes that gets into an error.
 	maxErrorSize = 200
 )
@@ -91,6 +95,8 @@
 	address   string
 	expiresAt time.Time
 	idleSince time.Time
+	// refused are the ids of the requests that the endpoint refused over this connection.
+	refused knapweedpulley.Set[knapweedpulley.RequestID]
 }
 
 // NewPool returns an empty pool. The clean-up closes the idle connections.
@@ -118,6 +124,9 @@
 
 // Message is a request that is sent without changes.
 type Message struct {
+	// ID identifies the request. It is not sent over a connection over which a request with this
+	// ID was refused.
+	ID      knapweedpulley.RequestID
 	Address string
 	Method  string
 	// Target is the path and query.
@@ -134,6 +143,7 @@
 // Answer is an answer whose head has been read. The caller must call Release.
 type Answer struct {
 	*http.Response
+	id   knapweedpulley.RequestID
 	pool *Pool
 	conn *conn
 	// written is closed once the whole request has been written.
@@ -191,7 +201,7 @@
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational && m.IsAnswer(response.Header) {
 			c.limit.left = -1
-			return &Answer{Response: response, pool: p, conn: c, written: written}, nil
+			return &Answer{Response: response, id: m.ID, pool: p, conn: c, written: written}, nil
 		}
 		c.limit.left = maxSkippedSize
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -224,7 +234,7 @@
 // connect returns an idle connection that is still usable, or a new one.
 func (p *Pool) connect(ctx context.Context, m Message) (*conn, error) {
 	for {
-		c := p.takeIdle(m.Address, m.MaxIdle)
+		c := p.takeIdle(m)
 		if c == nil {
 			break
 		}
@@ -238,7 +248,10 @@
 		return nil, errors.Wrapf(err, "connect to %s", m.Address)
 	}
 	limit := &limitedReader{source: raw, left: -1}
-	return &conn{Conn: raw, limit: limit, reader: bufio.NewReader(limit), address: m.Address}, nil
+	return &conn{
+		Conn: raw, limit: limit, reader: bufio.NewReader(limit), address: m.Address,
+		refused: make(knapweedpulley.Set[knapweedpulley.RequestID]),
+	}, nil
 }
 
 // RefusesConnections reports whether the address refuses a new connection.
@@ -246,21 +259,22 @@
 	return machine.RefusesConnections(ctx, &p.dialer, address)
 }
 
-// takeIdle removes the most recently used idle connection from the pool. It returns nil if
-// there is none or it has been idle for longer than maxIdle.
-func (p *Pool) takeIdle(address string, maxIdle time.Duration) *conn {
+// takeIdle removes the most recently used idle connection that may carry the message from the
+// pool. It returns nil if there is none or it has been idle for longer than the message allows.
+func (p *Pool) takeIdle(m Message) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if maxIdle > 0 && time.Since(c.idleSince) > maxIdle {
-		return nil
+	list := p.idle[m.Address]
+	for i, c := range slices.Backward(list) {
+		if m.MaxIdle > 0 && time.Since(c.idleSince) > m.MaxIdle {
+			return nil
+		}
+		if !c.refused.Has(m.ID) {
+			p.idle[m.Address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // closeIdle closes the idle connections to an address.
@@ -354,6 +368,16 @@
 	return n, err
 }
 
+// MarkRefusal records that the answer refuses the request, so that a repetition of the answer
+// can't be taken for that to another request. Identified is set if the answer names the request.
+// If it doesn't, nothing would distinguish the repetition, and the connection is not kept.
+func (a *Answer) MarkRefusal(identified bool) {
+	a.conn.refused.Add(a.id)
+	if !identified || len(a.conn.refused) >= maxRefusedIDs {
+		a.Close = true
+	}
+}
+
 // Release ends the exchange. The connection is kept if the whole request was written, the
 // answer was read to its end, no bytes follow it and the endpoint keeps the connection open.
 func (a *Answer) Release() {
