Don't believe a refusal that more bytes follow

Callers would have got 503 with the promise "not run", or their request was sent to a second endpoint, although the first one answered it: a refusal that names the request was believed as soon as its head had been read, even if the endpoint's answer to the same request had arrived right behind it.

The exchanger now looks, without waiting, whether bytes follow the refusal. The check can't see bytes that arrive later, and doesn't look behind refusals that come in chunks or without a length.

--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -293,22 +293,29 @@
 	if time.Now().After(c.expiresAt) || c.reader.Buffered() > 0 {
 		return false
 	}
+	_, err := c.peek()
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peek returns the number of bytes, at most one, that can be read from the connection at once. The
+// error is EAGAIN if the connection is open and there are none.
+func (c *conn) peek() (int, error) {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return 0, errors.Wrap(err, "access the connection")
 	}
-	usable := false
+	var n int
+	var failure error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		usable = errors.Is(err, unix.EAGAIN)
+		n, _, failure = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && usable
+	return n, errors.CombineErrors(err, failure)
 }
 
 // putIdle returns a connection to the pool.
@@ -378,6 +385,18 @@
 	}
 }
 
+// Followed reports whether bytes after the end of the answer have arrived. It must be called before
+// the body is read. It doesn't wait, and doesn't look behind a body that is incomplete or has no
+// length.
+func (a *Answer) Followed() bool {
+	buffered := int64(a.conn.reader.Buffered())
+	if a.ContentLength < 0 || buffered != a.ContentLength {
+		return a.ContentLength >= 0 && buffered > a.ContentLength
+	}
+	n, _ := a.conn.peek()
+	return n > 0
+}
+
 // Release ends the exchange. The connection is kept if the whole request was written, the
 // answer was read to its end, no bytes follow it and the endpoint keeps the connection open.
 func (a *Answer) Release() {
