Give each order to an engine a connection of its own

A keeper took an engine's answer to an earlier order or report, written once more on the kept connection, for the answer to the next order: an order that the engine had accepted counted as refused, a refused one as accepted, or as already fulfilled. What it then told the gateways held until its next reading; the order's sequence number kept it from being carried out twice.

Answers to orders name no order, so any answer that arrived first was taken. All four subtests of TestRepeatedEngineAnswerIsNotTheNextOrders failed on the commit before:

engine_test.go:53: refused != accepted engine_test.go:53: accepted != refused engine_test.go:53: holds != refused engine_test.go:53: holds != accepted

An order now goes over a new connection, which isn't kept, so that there is no earlier answer to repeat. It costs a connection to the engine for each order; the number of orders on the sites was not measured. Reports still share a kept connection: a repeated one is older by a reading and corrected by the next, and orders that are decided on it are refused by their sequence number.

--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -134,6 +134,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Fresh requires a new connection that carries no other message.
+	Fresh bool
 	// MaxIdle bounds how long a reused connection may have been idle; zero means no bound.
 	MaxIdle time.Duration
 	// IsAnswer reports whether an answer with the given header belongs to the request.
@@ -201,6 +203,7 @@
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational && m.IsAnswer(response.Header) {
 			c.limit.left = -1
+			response.Close = response.Close || m.Fresh
 			return &Answer{Response: response, id: m.ID, pool: p, conn: c, written: written}, nil
 		}
 		c.limit.left = maxSkippedSize
@@ -233,7 +236,7 @@
 
 // connect returns an idle connection that is still usable, or a new one.
 func (p *Pool) connect(ctx context.Context, m Message) (*conn, error) {
-	for {
+	for !m.Fresh {
 		c := p.takeIdle(m)
 		if c == nil {
 			break
