Report a relayed stream that ends inside an event as broken off

A caller of a plain service got a stream as complete although the service had broken it off. A stream may come with neither a length nor chunks and end with its connection; Relay took any such end for the end of the answer. Streams of engines were told by their [DONE] event.

Relay now requires that the body of an event stream is empty or ends with an empty line, and otherwise fails with the verdict that the request may have run. The bytes that it has passed on stay as they are; the error keeps the answer from looking complete, as after a reset.

--- a/engine/exchange/relay.go
+++ b/engine/exchange/relay.go
@@ -1,8 +1,10 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"sync"
 
@@ -16,17 +18,52 @@
 
 var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
 
-// Relay passes an answer on to w unchanged as its bytes arrive. The slice passed to observe
-// is valid only during the call; observe may be nil. An error is a *knapweedpulley.Refusal.
+// eventTail holds the last bytes of an event stream.
+type eventTail struct {
+	bytes []byte
+}
+
+// observe processes the next bytes of the stream and keeps no reference to p.
+func (t *eventTail) observe(p []byte) {
+	const longestEnd = len("\n\r\n")
+	t.bytes = append(t.bytes, p[max(0, len(p)-longestEnd):]...)
+	t.bytes = t.bytes[max(0, len(t.bytes)-longestEnd):]
+}
+
+// insideEvent reports whether the last event has begun but not ended. An event ends with an empty
+// line.
+func (t *eventTail) insideEvent() bool {
+	if len(bytes.Trim(t.bytes, "\r\n")) == 0 {
+		return false
+	}
+	for _, end := range []string{"\n\n", "\n\r\n", "\r\r"} {
+		if bytes.HasSuffix(t.bytes, []byte(end)) {
+			return false
+		}
+	}
+	return true
+}
+
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// Relay passes an answer on to w unchanged as its bytes arrive. A stream of events that ends
+// inside an event has been broken off. The slice passed to observe is valid only during the call;
+// observe may be nil. An error is a *knapweedpulley.Refusal.
 func Relay(ctx context.Context, response *http.Response, w knapweedpulley.AnswerWriter, observe func([]byte)) error {
 	if err := w.WriteHead(headOf(response)); err != nil {
 		return refuseWrite(err)
 	}
 	chunk, _ := chunks.Get().(*[chunkBytes]byte)
 	defer chunks.Put(chunk)
+	stream := isEventStream(response.Header)
+	var tail eventTail
 	for {
 		n, err := response.Body.Read(chunk[:])
 		if n > 0 {
+			tail.observe(chunk[:n])
 			if observe != nil {
 				observe(chunk[:n])
 			}
@@ -35,6 +72,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if stream && tail.insideEvent() {
+				return Refuse(ctx, errors.New("stream ended inside an event"), knapweedpulley.MayHaveRun)
+			}
 			return nil
 		}
 		if err != nil {
