Send each call to a back end over a new connection

A caller of the product got the answer to another caller's request: a service or engine that wrote an earlier answer once more, just before the next one on a kept connection, had it passed on as the next one. With an earlier 503 the caller was told that the back end had refused a request that it ran. Requests that may run once had a connection of their own and were not affected.

net/http takes the first answer that arrives after a request for the answer to it; it only notices bytes that arrive while the connection is idle.

Back ends of the product need not echo the request's id, so the id can't be checked as the gateway does. Every call now gets a new connection, as calls that are not idempotent, orders and readings of the state already did. A back end runs on the same machine or close to it; the cost of the connections was not measured.

The option Call.Fresh is gone with the kept connections. Of TestSendsAtMostOnce, "GET on a kept-alive connection" and "GET on a fresh connection" thus became the same case, "GET is sent once"; TestNoConnectionCarriesTwoCalls now checks that no connection is kept.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -64,8 +64,7 @@
 			{Name: contentTypeHeader, Value: contentTypeJSON},
 			{Name: requestIDHeader, Value: string(r.ID)},
 		},
-		Body:  r.Body,
-		Fresh: !r.Idempotent,
+		Body: r.Body,
 	})
 	if err != nil {
 		return knapweedpulley.Usage{}, err
@@ -89,7 +88,7 @@
 // State implements knapweedpulley.Engine.
 func (c *Client) State(ctx context.Context) (knapweedpulley.EngineState, error) {
 	var m stateMessage
-	response, err := c.client.Send(ctx, exchange.Call{Method: http.MethodGet, URL: c.url + statePath, Fresh: true})
+	response, err := c.client.Send(ctx, exchange.Call{Method: http.MethodGet, URL: c.url + statePath})
 	if err != nil {
 		return knapweedpulley.EngineState{}, errors.Wrap(err, "read the engine's state")
 	}
@@ -116,7 +115,6 @@
 		URL:    c.url + ordersPath,
 		Header: []knapweedpulley.HeaderField{{Name: contentTypeHeader, Value: contentTypeJSON}},
 		Body:   body,
-		Fresh:  true,
 	})
 	if err != nil {
 		return err
--- a/engine/exchange/exchange.go
+++ b/engine/exchange/exchange.go
@@ -8,6 +8,9 @@
 // never carry such a field. Redirects are not followed and proxies are not used. The circuit
 // breaker of httpc is disabled, because it would fail a request without a verdict.
 //
+// The transport can't tell which request an answer belongs to. Each call of a Client therefore
+// gets a new connection, over which no answer to an earlier call can arrive.
+//
 // A Pool doesn't use that transport: it writes requests to its own connections and checks
 // which request an answer belongs to.
 //
@@ -42,11 +45,6 @@
 	// dialTimeout bounds the wait for a connection. A back end runs on the same machine or
 	// close to it.
 	dialTimeout = time.Second
-	// idleTimeout is shorter than the idle timeout of common servers, so that the client
-	// closes an idle connection first.
-	idleTimeout = 2 * time.Second
-	// maxIdleConnections bounds the number of idle connections kept to a back end.
-	maxIdleConnections = 64
 )
 
 // Call is one HTTP request to a back end.
@@ -55,31 +53,19 @@
 	URL    string
 	Header []knapweedpulley.HeaderField
 	Body   []byte
-	// Fresh requests a new connection, so that the call can't fail because a kept-alive
-	// connection was closed or has gone silent.
-	Fresh bool
 }
 
-// Client sends calls to one back end.
+// Client sends calls to one back end, each over a new connection.
 type Client struct {
-	pooled httpc.Service
-	fresh  httpc.Service
+	service httpc.Service
 }
 
 // NewClient returns a client whose name identifies it in logs. The clean-up closes its
 // connections.
 func NewClient(name string) (*Client, knapweedpulley.Cleanup) {
 	breaker.NoBreakerFor(name)
-	pooled := newTransport(false)
-	fresh := newTransport(true)
-	c := &Client{
-		pooled: httpc.NewServiceWithClient(name, newHTTPClient(pooled)),
-		fresh:  httpc.NewServiceWithClient(name, newHTTPClient(fresh)),
-	}
-	return c, func() {
-		pooled.CloseIdleConnections()
-		fresh.CloseIdleConnections()
-	}
+	client := newHTTPClient()
+	return &Client{service: httpc.NewServiceWithClient(name, client)}, client.CloseIdleConnections
 }
 
 // Send sends the call once and returns the answer as soon as its head has arrived. The
@@ -91,11 +77,7 @@
 	if err != nil {
 		return nil, knapweedpulley.NewRefusal(knapweedpulley.CodeInvalidRequest, knapweedpulley.NotRun, "%v", err)
 	}
-	service := c.pooled
-	if l.Fresh {
-		service = c.fresh
-	}
-	response, err := service.DoRequest(request)
+	response, err := c.service.DoRequest(request)
 	if err != nil {
 		return nil, Refuse(ctx, err, verdictFor(connected.Load()))
 	}
@@ -168,21 +150,14 @@
 	return knapweedpulley.IsHopByHopField(name)
 }
 
-func newTransport(fresh bool) *http.Transport {
+func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableKeepAlives:   fresh,
-		DisableCompression:  true,
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-	}
-}
-
-func newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport: t,
+		Transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/engine/exchange/exchange_test.go
+++ b/engine/exchange/exchange_test.go
@@ -87,18 +87,32 @@
 		name string
 		call exchange.Call
 	}{
-		{"GET on a kept-alive connection is sent once", exchange.Call{Method: http.MethodGet}},
+		{"GET is sent once", exchange.Call{Method: http.MethodGet}},
 		{"GET with an idempotency key is sent once", exchange.Call{Method: http.MethodGet, Header: key}},
 		{"DELETE without a body is sent once", exchange.Call{Method: http.MethodDelete}},
 		{"POST with a body and a key is sent once", exchange.Call{Method: http.MethodPost, Header: key, Body: []byte("{}")}},
 		{"POST without a body, with a key is sent once", exchange.Call{Method: http.MethodPost, Header: key}},
-		{"GET on a fresh connection is sent once", exchange.Call{Method: http.MethodGet, Fresh: true}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { assertSentOnce(t, c.call) })
 	}
 }
 
+func TestNoConnectionCarriesTwoCalls(t *testing.T) {
+	is := is.New(t)
+	b := newTestBackend(t, echo)
+	client, cleanup := exchange.NewClient("test")
+	defer cleanup()
+	for n := range 3 {
+		response, err := client.Send(t.Context(), exchange.Call{Method: http.MethodGet, URL: "http://" + b.address})
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(b.connections.Load(), int64(n+1))
+	}
+}
+
 func TestVerdicts(t *testing.T) {
 	t.Run("refused connection gives not run", func(t *testing.T) {
 		is := is.New(t)
--- a/service/service.go
+++ b/service/service.go
@@ -33,8 +33,7 @@
 	return &Client{url: strings.TrimSuffix(url, "/"), client: client}, cleanup
 }
 
-// Run implements knapweedpulley.Backend. It sends the request once. A request that
-// is not idempotent is sent over a new connection.
+// Run implements knapweedpulley.Backend. It sends the request once.
 func (c *Client) Run(
 	ctx context.Context, r knapweedpulley.Request, w knapweedpulley.AnswerWriter,
 ) (knapweedpulley.Usage, error) {
@@ -43,8 +42,7 @@
 		URL:    c.urlOf(r),
 		Header: append(r.Header[:len(r.Header):len(r.Header)],
 			knapweedpulley.HeaderField{Name: requestIDHeader, Value: string(r.ID)}),
-		Body:  r.Body,
-		Fresh: !r.Idempotent,
+		Body: r.Body,
 	})
 	if err != nil {
 		return knapweedpulley.Usage{}, err
