Send each write to the store over a new connection

A write that the store had carried out counted as refused by its condition if the answer to an earlier write was written once more, just before the answer to this one, on the kept connection. Owners of permits and claims took what they had written themselves for another's.

Answers of the store don't name the call that they belong to.

Each write now has a connection of its own, as the calls to back ends do. Reads still share kept connections. The gateways of the users' platform write nothing to the store; the cost for the product was not measured.

"a write is never sent twice" and "a removal is never sent twice" used a server that reset only the second request of a connection.

--- a/store/client.go
+++ b/store/client.go
@@ -55,7 +55,8 @@
 	base    string
 	timeout time.Duration
 	client  *http.Client
-	service httpc.Service
+	reads   httpc.Service
+	writes  httpc.Service
 }
 
 // NewClient returns a client that encodes its calls in the project's own format. It
@@ -71,8 +72,9 @@
 // The httpc service has a circuit breaker per service name. The breaker is switched
 // off, because it would still refuse calls after an outage of the store has ended.
 // The default HTTP client of httpc might send a call again after its connection
-// broke. The service therefore gets a separate client, which follows no redirects
-// and whose writes have no body that can be sent again.
+// broke. The services therefore get separate clients, which follow no redirects
+// and whose writes have no body that can be sent again. Each write has a connection
+// of its own, because answers don't name the call that they belong to.
 func NewClientWithCodec(s Settings, codec knapweedpulley.StoreCodec) (*Client, knapweedpulley.Cleanup, error) {
 	var f settings.Faults
 	s.Check(&f)
@@ -82,25 +84,31 @@
 	if s.Timeout == 0 {
 		s.Timeout = defaultTimeout
 	}
-	client := &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	client := newHTTPClient(&http.Transport{
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	})
+	writer := newHTTPClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true})
 	breaker.NoBreakerFor(serviceName)
 	c := &Client{
 		codec:   codec,
 		base:    "http://" + s.Address,
 		timeout: time.Duration(s.Timeout),
 		client:  client,
-		service: httpc.NewServiceWithClient(serviceName, client),
+		reads:   httpc.NewServiceWithClient(serviceName, client),
+		writes:  httpc.NewServiceWithClient(serviceName, writer),
 	}
 	return c, client.CloseIdleConnections, nil
 }
 
+func newHTTPClient(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Get implements knapweedpulley.ObjectStore.
 func (c *Client) Get(ctx context.Context, kind knapweedpulley.Kind, name string) (knapweedpulley.Object, error) {
 	body, err := c.read(ctx, c.timeout, c.codec.Get(kind, name))
@@ -183,7 +191,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	return c.call(r)
+	return c.call(c.reads, r)
 }
 
 // write sends a conditional write and returns its revision. A failure after the
@@ -206,7 +214,7 @@
 	for _, h := range call.Header {
 		r.Header.Set(h.Name, h.Value)
 	}
-	body, err := c.call(r)
+	body, err := c.call(c.writes, r)
 	switch {
 	case err == nil:
 		return c.codec.Written(body)
@@ -223,8 +231,8 @@
 var errRefused = errors.New("refused by the store")
 
 // call sends a request once and returns the body of the answer.
-func (c *Client) call(r *http.Request) ([]byte, error) {
-	response, err := c.service.DoRequest(r)
+func (c *Client) call(service httpc.Service, r *http.Request) ([]byte, error) {
+	response, err := service.DoRequest(r)
 	if err != nil {
 		// The cause of this failure may have broken the idle connections as well.
 		c.client.CloseIdleConnections()
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -32,9 +33,9 @@
 	return newClient(t, strings.TrimPrefix(server.URL, "http://"))
 }
 
-// newResettingServer starts a server that answers the first request on each
-// connection and resets the connection after reading a second one. It returns the
-// address and the number of requests so far.
+// newResettingServer starts a server that answers the first request and resets the
+// connections of all others after reading them. It returns the address and the number
+// of requests so far.
 func newResettingServer(t *testing.T) (string, *atomic.Int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,22 +57,71 @@
 func answerFirstRequest(conn net.Conn, requests *atomic.Int64) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for i := range 2 {
+	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		requests.Add(1)
 		_ = r.Body.Close()
-		if i == 0 {
-			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":1}"))
+		if requests.Add(1) > 1 {
+			break
 		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":1}"))
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
 
+// newRepeatingServer starts a server that refuses the first write and accepts the others. Before each
+// answer it repeats the one before on the same connection.
+func newRepeatingServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	writes := new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go repeatAnswers(conn, writes)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func repeatAnswers(conn net.Conn, writes *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	reader, last := bufio.NewReader(conn), ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":1}"
+		if writes.Add(1) == 1 {
+			answer = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+		}
+		_, _ = io.WriteString(conn, last+answer)
+		last = answer
+	}
+}
+
+func TestRepeatedConflictIsNotTheNextWrites(t *testing.T) {
+	is := is.New(t)
+	c := newClient(t, newRepeatingServer(t))
+	_, err := c.Put(t.Context(), kind, name, []byte("1"), 0)
+	assertError(t, err, knapweedpulley.ErrConflict)
+	_, err = c.Put(t.Context(), kind, name, []byte("1"), 0)
+	is.NoErr(err)
+	_, err = c.Delete(t.Context(), kind, name, 1)
+	is.NoErr(err)
+}
+
 func TestClientWrite(t *testing.T) {
 	t.Run("a write is never sent twice", func(t *testing.T) {
 		is := is.New(t)
