Let a begun stream wait for its model as long as its caller waits

A stream whose endpoint crashed after some seconds was cut at once if its model had to be loaded elsewhere: the wait for the model counted from the arrival of the call, so that its end lay in the past.

The wait now counts from the last event, as callers do. The fixture's crash tracker shares the gateway's fleet.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -361,10 +361,11 @@
 
 // loadRequest returns the request to load what the call needs.
 func (h *callHandler) loadRequest() placement.LoadRequest {
-	until := min(h.deadline.Add(-minSendTime), knapweedpulley.Instant(h.waitDeadline.Load()))
-	if callerPatience := h.admission.Route.EventTimeout; callerPatience > 0 {
-		until = min(until, h.call.Arrived.Add(callerPatience-firstEventReserve))
+	until := h.callerPatienceEnd()
+	if h.admission.Route.EventTimeout > 0 {
+		until = until.Add(-firstEventReserve)
 	}
+	until = min(until, knapweedpulley.Instant(h.waitDeadline.Load()))
 	return placement.LoadRequest{
 		Service:    h.admission.Service.ID,
 		Weights:    h.call.Weights(),
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -31,6 +31,8 @@
 	route     knapweedpulley.Route
 	service   knapweedpulley.Service
 	endpoints []knapweedpulley.EndpointID
+	// holder is the endpoint that is registered with model m.
+	holder    knapweedpulley.EndpointID
 	exchanger knapweedpulley.Exchanger
 	keepers   knapweedpulley.KeeperLink
 	// crashing endpoints have ended when an exchange with them breaks off. crashCheckTime is how
@@ -64,12 +66,13 @@
 	for !follower.Usable() {
 		time.Sleep(time.Millisecond)
 	}
-	_, crashes, crashTracker := newCrashTracker()
+	lists, crashes, _ := newCrashTracker()
 	crashes.ended, crashes.delay = d.crashing, d.crashCheckTime
 	rateLimiter, _ := newRateLimiter()
 	return gateway.New(gateway.Options{
-		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter, CrashTracker: crashTracker,
-		RetryBudget: gateway.NewRetryBudget(d.retrySlack, 1), Exchanger: d.exchanger, Clock: clock, Log: logger,
+		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter,
+		CrashTracker: gateway.NewCrashTracker(lists["one"], crashes, f, logger),
+		RetryBudget:  gateway.NewRetryBudget(d.retrySlack, 1), Exchanger: d.exchanger, Clock: clock, Log: logger,
 		Meter: gateway.NewMeter(tally.NoopScope),
 	})
 }
@@ -94,9 +97,11 @@
 		Services: map[knapweedpulley.ServiceID]knapweedpulley.Service{d.service.ID: {ID: d.service.ID}},
 	})
 	for _, id := range d.endpoints {
-		put(knapweedpulley.KindEndpoints, string(id), knapweedpulley.RegisteredEndpoint{
-			Service: d.service.ID, Address: "10.0.0.1:" + string(id), Start: 1, Slots: 4,
-		})
+		r := knapweedpulley.RegisteredEndpoint{Service: d.service.ID, Address: "10.0.0." + string(id) + ":1", Start: 1, Slots: 4}
+		if id == d.holder {
+			r.Models = []knapweedpulley.LoadedModel{{Model: "m", State: knapweedpulley.StateLoaded}}
+		}
+		put(knapweedpulley.KindEndpoints, string(id), r)
 	}
 	return objects
 }
