Keep other calls when a loan times out or its caller leaves

Callers saw requests refused for their rate although tokens had been lent: the lender had deducted them, and the answers were lost. Reports of crashes use the same connections and were lost too.

A loan now closes the connection only after several timeouts in a row that span two seconds, since many loans can time out in one short silence, and never because a caller left. A connection that can't be established is replaced before the next loan, as before. The counting is shared with the heartbeats, whose behavior stays the same.

--- a/link/allowances.go
+++ b/link/allowances.go
@@ -2,28 +2,37 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	grpcstatus "google.golang.org/grpc/status"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/link/linkpb"
 )
 
+// minLenderSilence is the time for which loans on a connection must have timed out before
+// it is replaced.
+const minLenderSilence = 2 * time.Second
+
 // AllowanceBorrower implements knapweedpulley.AllowanceLink over gRPC.
 type AllowanceBorrower struct {
 	connections *Connections
+	timeouts    *timeoutCounter
 }
 
 // NewAllowanceBorrower returns a borrower that uses the given connections.
 func NewAllowanceBorrower(connections *Connections) *AllowanceBorrower {
-	return &AllowanceBorrower{connections: connections}
+	return &AllowanceBorrower{connections: connections, timeouts: newTimeoutCounter(minLenderSilence)}
 }
 
 // Borrow implements knapweedpulley.AllowanceLink.
 func (b *AllowanceBorrower) Borrow(
 	ctx context.Context, from knapweedpulley.Member, customer knapweedpulley.CustomerID, n knapweedpulley.Tokens,
 ) (knapweedpulley.Tokens, error) {
+	b.connections.DiscardFailed(from.Address)
 	conn, err := b.connections.To(from.Address)
 	if err != nil {
 		return 0, err
@@ -32,13 +41,27 @@
 		Customer: string(customer), Tokens: int64(n),
 	})
 	if err != nil {
-		// The connection may have stopped delivering data, so it is not reused.
-		b.connections.Discard(from.Address)
+		b.handleError(from.Address, err)
 		return 0, errors.Wrapf(err, "borrow tokens from %s", from.Entry)
 	}
+	b.timeouts.record(from.Address, false)
 	return knapweedpulley.Tokens(answer.GetTokens()), nil
 }
 
+// handleError closes the connection to address if loans have timed out on it for long
+// enough. Until then other calls on it may still get their answers.
+func (b *AllowanceBorrower) handleError(address string, err error) {
+	switch grpcstatus.Code(err) {
+	case codes.Canceled:
+	case codes.DeadlineExceeded:
+		if b.timeouts.record(address, true) {
+			b.connections.Discard(address)
+		}
+	default:
+		b.timeouts.record(address, false)
+	}
+}
+
 // allowanceServer lends tokens to other gateways.
 type allowanceServer struct {
 	linkpb.UnimplementedAllowancesServer
--- a/link/connections.go
+++ b/link/connections.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -81,6 +82,21 @@
 	}
 }
 
+// DiscardFailed discards the connection to address if the last attempt to establish it
+// failed, so that the next call doesn't fail because of gRPC's reconnect backoff.
+func (c *Connections) DiscardFailed(address string) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	failed := ok && conn.GetState() == connectivity.TransientFailure
+	if failed {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	if failed {
+		_ = conn.Close()
+	}
+}
+
 func (c *Connections) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/link/heartbeats.go
+++ b/link/heartbeats.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,21 +15,15 @@
 	"github.com/knapweedpulley/knapweedpulley/machine"
 )
 
-// maxConsecutiveTimeouts is the number of consecutive heartbeats on a connection
-// whose timeout causes the connection to be replaced.
-const maxConsecutiveTimeouts = 3
-
 // HeartbeatSender implements knapweedpulley.HeartbeatLink over gRPC.
 type HeartbeatSender struct {
 	connections *Connections
-
-	mu       sync.Mutex
-	timeouts map[string]int
+	timeouts    *timeoutCounter
 }
 
 // NewHeartbeatSender returns a sender that uses the given connections.
 func NewHeartbeatSender(connections *Connections) *HeartbeatSender {
-	return &HeartbeatSender{connections: connections, timeouts: make(map[string]int)}
+	return &HeartbeatSender{connections: connections, timeouts: newTimeoutCounter(0)}
 }
 
 // Heartbeat implements knapweedpulley.HeartbeatLink.
@@ -45,7 +38,7 @@
 	if err != nil {
 		return knapweedpulley.Heartbeat{}, s.classifyError(ctx, to, err)
 	}
-	s.recordTimeout(to.Address, false)
+	s.timeouts.record(to.Address, false)
 	return decodeHeartbeat(answer), nil
 }
 
@@ -57,30 +50,12 @@
 	if code == codes.Unavailable && machine.RefusesConnections(ctx, &net.Dialer{}, to.Address) {
 		return knapweedpulley.ErrNoListener
 	}
-	if s.recordTimeout(to.Address, code == codes.DeadlineExceeded) {
+	if s.timeouts.record(to.Address, code == codes.DeadlineExceeded) {
 		s.connections.Discard(to.Address)
 	}
 	return errors.Wrapf(err, "heartbeat to %s", to.Entry)
 }
 
-// recordTimeout counts consecutive timeouts of heartbeats to address and reports
-// whether they have reached maxConsecutiveTimeouts. The count restarts then, and if
-// timeout is false.
-func (s *HeartbeatSender) recordTimeout(address string, timeout bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !timeout {
-		delete(s.timeouts, address)
-		return false
-	}
-	s.timeouts[address]++
-	if s.timeouts[address] < maxConsecutiveTimeouts {
-		return false
-	}
-	delete(s.timeouts, address)
-	return true
-}
-
 // memberServer answers the heartbeats of other entry processes.
 type memberServer struct {
 	linkpb.UnimplementedMemberServiceServer
