Send a crash report again after its connection failed

A gateway that saw a crash sent the contents that may have caused it to each other gateway once, over the connections that loans and keepers use. If that connection ended, or had stopped delivering data, the report was lost without a trace: the other gateways went on sending the content, and callers beside it saw their requests broken off by further crashes.

An attempt is bounded, and is repeated up to three times with a pause unless the member refuses connections. After three timeouts in a row the connection is replaced, so that the fourth attempt arrives. Reports are merged by their crash, so one that arrives twice does no harm. The time that the caller's own bound allows for a report stays the same.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -115,7 +115,7 @@
 		Zone: p.settings.Zone, Address: p.settings.Links,
 	}
 	p.peers = gateway.NewPeers(self)
-	suspects := endpoint.NewSuspects(p.peers, link.NewSuspectSender(connections))
+	suspects := p.newSuspects()
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
 		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Clock: clock, Log: p.log,
@@ -161,6 +161,13 @@
 	return p.serveCallers()
 }
 
+// newSuspects returns the list of contents that crash endpoints, with connections of its own.
+func (p *process) newSuspects() *endpoint.Suspects {
+	connections, closeConnections := link.NewConnections(nil)
+	p.cleanups.Add(closeConnections)
+	return endpoint.NewSuspects(p.peers, link.NewSuspectSender(connections))
+}
+
 // configure applies a configuration that came into force.
 func (p *process) configure(s *installation.Snapshot) {
 	ownLimits := knapweedpulley.CallerLimits{
--- a/link/suspects.go
+++ b/link/suspects.go
@@ -2,40 +2,80 @@
 
 import (
 	"context"
+	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	grpcstatus "google.golang.org/grpc/status"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/link/linkpb"
+	"github.com/knapweedpulley/knapweedpulley/machine"
+)
+
+const (
+	// maxSuspectAttempts bounds the attempts to send one report. There is one more than the
+	// timeouts that replace a connection.
+	maxSuspectAttempts = maxConsecutiveTimeouts + 1
+	// suspectAttemptTimeout bounds one attempt. suspectRetryDelay is the time between two.
+	suspectAttemptTimeout = 200 * time.Millisecond
+	suspectRetryDelay     = 50 * time.Millisecond
 )
 
 // SuspectSender implements knapweedpulley.SuspectPeer over gRPC.
 type SuspectSender struct {
 	connections *Connections
+	timeouts    *timeoutCounter
 }
 
-// NewSuspectSender returns a sender that uses the given connections.
+// NewSuspectSender returns a sender that uses the given connections. It closes those that
+// have stopped delivering data, so no other calls should use them.
 func NewSuspectSender(connections *Connections) *SuspectSender {
-	return &SuspectSender{connections: connections}
+	return &SuspectSender{connections: connections, timeouts: newTimeoutCounter(0)}
 }
 
-// SendSuspects implements knapweedpulley.SuspectPeer.
+// SendSuspects implements knapweedpulley.SuspectPeer. Reports are idempotent, so a failed
+// attempt is repeated unless the member's process has ended.
 func (s *SuspectSender) SendSuspects(
 	ctx context.Context, to knapweedpulley.Member, r knapweedpulley.SuspectReport,
 ) error {
-	conn, err := s.connections.To(to.Address)
-	if err != nil {
-		return err
-	}
 	message := &linkpb.SuspectsRequest{Endpoint: string(r.Endpoint), Start: r.Start, Isolated: r.Isolated}
 	for _, f := range r.Fingerprints {
 		message.Fingerprints = append(message.Fingerprints, uint64(f))
 	}
-	_, err = linkpb.NewSuspectServiceClient(conn).SendSuspects(ctx, message)
+	err := s.attempt(ctx, to.Address, message)
+	for n := 1; n < maxSuspectAttempts && err != nil && !errors.Is(err, knapweedpulley.ErrNoListener); n++ {
+		if machine.Pause(ctx, suspectRetryDelay) != nil {
+			break
+		}
+		err = s.attempt(ctx, to.Address, message)
+	}
 	return errors.Wrapf(err, "send suspects to %s", to.Entry)
 }
 
+// attempt sends a report once. The error is knapweedpulley.ErrNoListener if the address
+// refuses connections.
+func (s *SuspectSender) attempt(ctx context.Context, address string, m *linkpb.SuspectsRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, suspectAttemptTimeout)
+	defer cancel()
+	s.connections.DiscardFailed(address)
+	conn, err := s.connections.To(address)
+	if err != nil {
+		return err
+	}
+	_, err = linkpb.NewSuspectServiceClient(conn).SendSuspects(ctx, m)
+	code := grpcstatus.Code(err)
+	if s.timeouts.record(address, code == codes.DeadlineExceeded) {
+		s.connections.Discard(address)
+	}
+	if code == codes.Unavailable && machine.RefusesConnections(ctx, &net.Dialer{}, address) {
+		return knapweedpulley.ErrNoListener
+	}
+	return err
+}
+
 // suspectServer passes the suspect reports of other entry processes to a merger.
 type suspectServer struct {
 	linkpb.UnimplementedSuspectServiceServer
--- /dev/null
+++ b/link/suspects_test.go
@@ -0,0 +1,80 @@
+package link_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/link"
+)
+
+// recordedSuspects records the reports that arrive. It calls interrupt, if that is set,
+// before it answers the next one.
+type recordedSuspects struct {
+	reports   chan knapweedpulley.SuspectReport
+	interrupt atomic.Pointer[func()]
+}
+
+// Merge implements knapweedpulley.SuspectMerger.
+func (s *recordedSuspects) Merge(r knapweedpulley.SuspectReport) {
+	s.reports <- r
+	if interrupt := s.interrupt.Swap(nil); interrupt != nil {
+		(*interrupt)()
+	}
+}
+
+// assertReportArrives requires that a report arrives and is confirmed although the
+// connection of an earlier one fails.
+func assertReportArrives(t *testing.T, fail func(*faultyProxy, *recordedSuspects)) {
+	t.Helper()
+	is := is.New(t)
+	received := &recordedSuspects{reports: make(chan knapweedpulley.SuspectReport, 8)}
+	server, closeServer, err := link.NewServer("127.0.0.1:0", nil, func(r grpc.ServiceRegistrar) {
+		link.RegisterSuspects(r, received)
+	})
+	is.NoErr(err)
+	t.Cleanup(closeServer)
+	proxy := newFaultyProxy(t, server.Address())
+	connections, closeConnections := link.NewConnections(nil)
+	t.Cleanup(closeConnections)
+	sender := link.NewSuspectSender(connections)
+	to := knapweedpulley.Member{Entry: "two", Address: proxy.address()}
+	first := knapweedpulley.SuspectReport{Endpoint: "e", Start: 1, Fingerprints: []knapweedpulley.Fingerprint{7}}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	is.NoErr(sender.SendSuspects(ctx, to, first))
+	is.Equal(<-received.reports, first)
+	fail(proxy, received)
+	second := knapweedpulley.SuspectReport{Endpoint: "e", Start: 2, Fingerprints: []knapweedpulley.Fingerprint{7, 8}}
+	is.NoErr(sender.SendSuspects(ctx, to, second))
+	is.Equal(<-received.reports, second)
+}
+
+func TestCrashReportOutlivesItsConnection(t *testing.T) {
+	t.Run("a connection that stops delivering data", func(t *testing.T) {
+		assertReportArrives(t, func(p *faultyProxy, _ *recordedSuspects) { p.silence() })
+	})
+	t.Run("a connection that is closed before the report is confirmed", func(t *testing.T) {
+		assertReportArrives(t, func(p *faultyProxy, s *recordedSuspects) {
+			cut := p.cut
+			s.interrupt.Store(&cut)
+		})
+	})
+	t.Run("a member whose process has ended is not waited for", func(t *testing.T) {
+		is := is.New(t)
+		connections, closeConnections := link.NewConnections(nil)
+		defer closeConnections()
+		server, closeServer, err := link.NewServer("127.0.0.1:0", nil, func(grpc.ServiceRegistrar) {})
+		is.NoErr(err)
+		closeServer()
+		to := knapweedpulley.Member{Entry: "two", Address: server.Address()}
+		err = link.NewSuspectSender(connections).SendSuspects(t.Context(), to, knapweedpulley.SuspectReport{})
+		is.True(errors.Is(err, knapweedpulley.ErrNoListener))
+	})
+}
