Keep a keeper's streams open while its engine is silent

A pass of the keeper ended at a failed read of the engine, before it sent reports. A report is valid for 1.5 s, so when an engine was silent for 1.3 s all gateways canceled their streams to its keeper. The keeper forgot their demands and load requests and could unload models that were in use, and callers waited for the load of a model again, or were refused.

The keeper now goes on reporting its last reading for 3 s if the engine is silent, and not if it refuses connections or answers anything else that is no reading. Reports carry the age of the reading, and gateways count their validity from the read, not from the arrival. So the stream outlives the silence, while gateways stop placing loads on a dark engine as early as before. A report on an earlier read no longer ends the exclusion of an endpoint that refuses connections, and doesn't shift the estimate of other gateways' requests there. Orders still need a new reading. The message has one more field; a keeper that doesn't send it counts as having just read.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -26,7 +26,8 @@
 type receivedReport struct {
 	knapweedpulley.EngineReport
 	at knapweedpulley.Instant
-	// active is the number of the gateway's own requests at the endpoint.
+	// active is the number of the gateway's own requests at the endpoint when the first
+	// report with these request counts arrived.
 	active int32
 }
 
@@ -72,8 +73,8 @@
 }
 
 // Report returns the last report of the keeper on the registered run of the
-// endpoint, its age, and whether it is still valid. The report is nil if there is
-// none.
+// endpoint, the time since the keeper read the endpoint for it, and whether it is
+// still valid. The report is nil if there is none.
 func (e *Endpoint) Report() (*knapweedpulley.EngineReport, time.Duration, bool) {
 	r, age, fresh := e.lastReport()
 	if r == nil {
@@ -88,7 +89,7 @@
 	if r == nil || r.Start < e.Registration().Start {
 		return nil, 0, false
 	}
-	age := e.clock.Now().Sub(r.at)
+	age := e.clock.Now().Sub(r.at) + r.Age
 	return r, age, age < r.Lifetime
 }
 
@@ -138,7 +139,7 @@
 }
 
 // unreachable reports whether the endpoint refused connections recently and its
-// keeper has sent no report since.
+// keeper has not read it since.
 func (e *Endpoint) unreachable() bool {
 	return knapweedpulley.Instant(e.unreachableUntil.Load()).After(e.clock.Now())
 }
@@ -153,10 +154,20 @@
 	e.load.Store(&receivedLoad{EndpointLoad: l, active: e.active.Load()})
 }
 
-// setReport stores a keeper's report, which also shows that the endpoint is reachable.
+// setReport stores a keeper's report. If the keeper read the endpoint after it refused
+// connections, the endpoint is reachable again.
 func (e *Endpoint) setReport(r knapweedpulley.EngineReport) {
-	e.unreachableUntil.Store(0)
-	e.report.Store(&receivedReport{EngineReport: r, at: e.clock.Now(), active: e.active.Load()})
+	now := e.clock.Now()
+	readAt := now.Add(-r.Age)
+	if refusedAt := knapweedpulley.Instant(e.unreachableUntil.Load()).Add(-unreachableTime); !refusedAt.After(readAt) {
+		e.unreachableUntil.Store(0)
+	}
+	active := e.active.Load()
+	if last := e.report.Load(); last != nil && last.at.After(readAt) {
+		// The request counts are those of the last report.
+		active = last.active
+	}
+	e.report.Store(&receivedReport{EngineReport: r, at: now, active: active})
 }
 
 // Outcome is the outcome of a request at an endpoint.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,7 +91,7 @@
 }
 
 // MarkUnreachable excludes an endpoint that refuses connections until its keeper
-// sends a report or some time has passed. The last endpoint of a service is never
+// has read it again or some time has passed. The last endpoint of a service is never
 // excluded.
 func (f *Fleet) MarkUnreachable(e *Endpoint) {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -121,6 +121,17 @@
 		f.ApplyReport(f.Endpoints()["a"], knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Models: loaded("m")})
 		assertChoice(t, f, requirements("m"), "a")
 	})
+	inBubble("a report on an earlier read doesn't make an endpoint reachable", t, func(t *testing.T, f *fleet.Fleet) {
+		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "n")})
+		f.MarkUnreachable(f.Endpoints()["a"])
+		time.Sleep(500 * time.Millisecond)
+		r := knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Models: loaded("m"), Age: time.Second}
+		f.ApplyReport(f.Endpoints()["a"], r)
+		assertChoice(t, f, requirements("m"), "")
+		r.Age = 100 * time.Millisecond
+		f.ApplyReport(f.Endpoints()["a"], r)
+		assertChoice(t, f, requirements("m"), "a")
+	})
 	inBubble("an endpoint that refused connections is chosen again after some seconds", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "n")})
 		f.MarkUnreachable(f.Endpoints()["a"])
@@ -135,6 +146,32 @@
 }
 
 func TestReports(t *testing.T) {
+	inBubble("the age of a report counts from the keeper's read", t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home")})
+		e := f.Endpoints()["a"]
+		f.ApplyReport(e, knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Age: time.Second})
+		time.Sleep(400 * time.Millisecond)
+		_, age, fresh := e.Report()
+		is.Equal(age, 1400*time.Millisecond)
+		is.True(fresh)
+		time.Sleep(100 * time.Millisecond)
+		_, _, fresh = e.Report()
+		is.True(!fresh)
+	})
+	inBubble("own requests sent after the keeper's read don't lower the load of others", t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home")})
+		e := f.Endpoints()["a"]
+		f.ApplyReport(e, knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Running: 4})
+		time.Sleep(500 * time.Millisecond)
+		for range 3 {
+			e.BeginRequest(0)
+		}
+		is.Equal(e.Load(), 7)
+		f.ApplyReport(e, knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Running: 4, Age: 510 * time.Millisecond})
+		is.Equal(e.Load(), 7)
+	})
 	inBubble("a fresh report takes precedence over the registration", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m")})
 		changed := f.Changed()
--- a/keeper/fakes_test.go
+++ b/keeper/fakes_test.go
@@ -42,13 +42,49 @@
 	// orderDelay.
 	loseAnswers bool
 	orderDelay  time.Duration
+	// silent engines don't answer reads, and refusing ones refuse connections.
+	silent   bool
+	refusing bool
 }
 
-var errAnswerLost = errors.New("no answer")
+var (
+	errAnswerLost        = errors.New("no answer")
+	errConnectionRefused = errors.New("connection refused")
+)
+
+func (e *engine) setSilent(silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent = silent
+}
+
+func (e *engine) setRefusing(refusing bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusing = refusing
+}
+
+func (e *engine) isSilent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silent
+}
 
-func (e *engine) Read(context.Context) (knapweedpulley.EngineSnapshot, error) {
+// Read implements knapweedpulley.EngineClient. A read of an engine that stops being silent
+// is answered then.
+func (e *engine) Read(ctx context.Context) (knapweedpulley.EngineSnapshot, error) {
+	for e.isSilent() {
+		select {
+		case <-ctx.Done():
+			return knapweedpulley.EngineSnapshot{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.refusing {
+		return knapweedpulley.EngineSnapshot{}, errConnectionRefused
+	}
 	r := knapweedpulley.EngineSnapshot{Busy: e.busy, Sequence: e.sequence}
 	r.Start = e.start
 	for _, m := range e.models {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedpulley/knapweedpulley"
 )
@@ -47,8 +48,14 @@
 	// minResidency is the time for which a model stays loaded after a load: the
 	// requests that waited for it arrive in this time.
 	minResidency = 500 * time.Millisecond
+	// maxReadingAge is the age up to which the last reading of an engine that has become
+	// silent is still reported.
+	maxReadingAge = 3 * time.Second
 )
 
+// errEngineSilent marks the error of a read that the engine has not answered in time.
+var errEngineSilent = errors.New("the engine is silent")
+
 // loadRequest is a queued request of one or more gateways to load a model or an
 // adapter.
 type loadRequest struct {
@@ -71,8 +78,9 @@
 	// queue holds the open load requests, by priority and then in the order of
 	// arrival.
 	queue []loadRequest
-	// reading is the engine's state as of the last read, nil before.
+	// reading is the engine's state as of the last read at readAt, nil before.
 	reading *knapweedpulley.EngineSnapshot
+	readAt  knapweedpulley.Instant
 	// loading is the last model load that was ordered. It is nil once the engine
 	// is idle again.
 	loading *activeLoad
@@ -146,6 +154,15 @@
 // reconcile makes one pass: it reads the engine, issues the orders that are due
 // and sends reports to the gateways.
 func (k *Keeper) reconcile(ctx context.Context) error {
+	err := k.issueDueOrders(ctx)
+	if err == nil || (errors.Is(err, errEngineSilent) && k.hasRecentReading()) {
+		k.publish()
+	}
+	return err
+}
+
+// issueDueOrders issues the orders that are due, each on a new reading of the engine.
+func (k *Keeper) issueDueOrders(ctx context.Context) error {
 	if err := k.refresh(ctx); err != nil {
 		return err
 	}
@@ -158,10 +175,17 @@
 			return err
 		}
 	}
-	k.publish()
 	return nil
 }
 
+// hasRecentReading reports whether the last reading is still reported if the engine is
+// silent.
+func (k *Keeper) hasRecentReading() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reading != nil && k.clock.Now().Sub(k.readAt) < maxReadingAge
+}
+
 // maxOrdersPerPass bounds the orders of one reconcile pass: an engine takes up
 // to four adapters at once.
 const maxOrdersPerPass = 4
@@ -173,6 +197,9 @@
 	defer cancel()
 	r, err := k.engine.Read(ctx)
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			err = errors.Mark(err, errEngineSilent)
+		}
 		return err
 	}
 	k.mu.Lock()
@@ -183,7 +210,7 @@
 		k.loading = nil
 		clear(k.loadedAt)
 	}
-	k.reading = &r
+	k.reading, k.readAt = &r, now
 	if k.loading != nil && !r.Busy && now.Sub(k.loading.startedAt) > activePollInterval {
 		k.log.WithField("model", k.loading.Model).WithField("took", now.Sub(k.loading.startedAt).String()).
 			WithField("loaded", knapweedpulley.Holds(r.Models, k.loading.Resident)).Info("load ended")
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -156,3 +156,70 @@
 		}
 	})
 }
+
+// countReports returns the number of reports that arrive within d.
+func (f *fixture) countReports(d time.Duration) int {
+	before := f.stream.reportCount()
+	time.Sleep(d)
+	return f.stream.reportCount() - before
+}
+
+// assertReportInLifetime requires that the next report arrives within the lifetime of the
+// last one.
+func (f *fixture) assertReportInLifetime() {
+	f.t.Helper()
+	is.New(f.t).True(f.countReports(f.stream.report().Lifetime) > 0)
+}
+
+func TestSilentEngine(t *testing.T) {
+	runInBubble("gateways get reports with their age while the engine is silent for a second", t, func(f *fixture) {
+		is := is.New(f.t)
+		f.engine.setSilent(true)
+		began := time.Now()
+		time.AfterFunc(1300*time.Millisecond, func() { f.engine.setSilent(false) })
+		for time.Since(began) < 2*time.Second {
+			f.assertReportInLifetime()
+		}
+		is.True(f.stream.report().Age < 500*time.Millisecond)
+	})
+	runInBubble("the age of a report counts from the last answer of the engine", t, func(f *fixture) {
+		is := is.New(f.t)
+		f.engine.setSilent(true)
+		time.Sleep(2 * time.Second)
+		r := f.stream.report()
+		is.True(r.Age > time.Second && r.Age < 2500*time.Millisecond)
+	})
+	runInBubble("no orders are given on an old reading", t, func(f *fixture) {
+		f.engine.setSilent(true)
+		f.requestLoad("c", "", 5*time.Second)
+		time.Sleep(2 * time.Second)
+		is.New(f.t).Equal(len(f.receivedOrders()), 0)
+		f.engine.setSilent(false)
+		time.Sleep(2 * time.Second)
+		f.assertHolds("c", "", true)
+	})
+	runInBubble("a load goes on while the engine is silent", t, func(f *fixture) {
+		is := is.New(f.t)
+		f.requestLoad("d", "", 20*time.Second)
+		time.Sleep(2 * time.Second)
+		f.engine.setSilent(true)
+		time.Sleep(1300 * time.Millisecond)
+		r := f.stream.report()
+		is.Equal(len(r.Loading), 1)
+		is.True(r.Loading[0].Remaining-r.Age > 2*time.Second && r.Loading[0].Remaining-r.Age < 4*time.Second)
+		f.engine.setSilent(false)
+		time.Sleep(4 * time.Second)
+		f.assertHolds("d", "", true)
+		is.Equal(f.countOrders(knapweedpulley.OrderLoadModel), 1)
+	})
+	runInBubble("an engine that stays silent is not reported any more", t, func(f *fixture) {
+		f.engine.setSilent(true)
+		time.Sleep(4 * time.Second)
+		is.New(f.t).Equal(f.countReports(5*time.Second), 0)
+	})
+	runInBubble("an engine that refuses connections is not reported", t, func(f *fixture) {
+		f.engine.setRefusing(true)
+		time.Sleep(10 * time.Millisecond)
+		is.New(f.t).Equal(f.countReports(5*time.Second), 0)
+	})
+}
--- a/keeper/session.go
+++ b/keeper/session.go
@@ -187,6 +187,7 @@
 // buildReport returns the report of the current state.
 func (k *Keeper) buildReport(now knapweedpulley.Instant) knapweedpulley.EngineReport {
 	r := k.reading.EngineReport
+	r.Age = now.Sub(k.readAt)
 	r.Gateways = k.connectedGateways()
 	r.Queue = make([]knapweedpulley.Resident, 0, len(k.queue))
 	for _, q := range k.queue {
@@ -196,7 +197,7 @@
 	}
 	if l := k.loading; l != nil {
 		r.Loading = []knapweedpulley.LoadInProgress{{
-			Resident: l.Resident, Tier: l.tier, Remaining: max(0, l.expected-now.Sub(l.startedAt)),
+			Resident: l.Resident, Tier: l.tier, Remaining: max(0, l.expected-k.readAt.Sub(l.startedAt)),
 		}}
 	}
 	if k.spec == nil {
--- a/link/keepermessages.go
+++ b/link/keepermessages.go
@@ -97,7 +97,7 @@
 		Start: r.Start, Running: int64(r.Running), Waiting: int64(r.Waiting),
 		CacheUsed: int64(r.CacheUsed), CacheSize: int64(r.CacheSize),
 		Free: int64(r.Free), Evictable: int64(r.Evictable), Spare: int64(r.Redundant),
-		LifetimeNanoseconds: int64(r.Lifetime),
+		LifetimeNanoseconds: int64(r.Lifetime), AgeNanoseconds: int64(r.Age),
 	}
 	if last == nil || !knapweedpulley.SameModels(r.Models, last.Models) {
 		m.Models = encodeModels(r.Models)
@@ -150,6 +150,7 @@
 		Evictable: knapweedpulley.Bytes(m.GetEvictable()),
 		Redundant: knapweedpulley.Bytes(m.GetSpare()),
 		Lifetime:  time.Duration(m.GetLifetimeNanoseconds()),
+		Age:       time.Duration(m.GetAgeNanoseconds()),
 		Models:    last.Models, Cached: last.Cached, Gateways: last.Gateways,
 	}
 	if m.GetModels() != nil {
--- a/link/keepers_test.go
+++ b/link/keepers_test.go
@@ -57,7 +57,7 @@
 func report(running int, models ...knapweedpulley.ModelID) knapweedpulley.EngineReport {
 	r := knapweedpulley.EngineReport{
 		Start: 9, Running: running, Waiting: 1, CacheUsed: 2, CacheSize: 3, Free: 4, Evictable: 5, Redundant: 6,
-		Lifetime: time.Second,
+		Age: 7, Lifetime: time.Second,
 		Cached:   []knapweedpulley.CachedCheckpoint{{Model: "c", Tier: knapweedpulley.TierDisk}},
 		Gateways: []knapweedpulley.Member{{Entry: "one", Incarnation: 2, Zone: "a", Address: "10.0.0.1:7"}},
 		Queue:    []knapweedpulley.Resident{{Model: "q", Adapter: "x"}},
@@ -90,6 +90,7 @@
 			is.Equal(len(got.Gateways), len(want.Gateways))
 			is.Equal(got.Loading, want.Loading)
 			is.Equal(got.Queue, want.Queue)
+			is.Equal(got.Age, want.Age)
 			is.Equal(got.Lifetime, want.Lifetime)
 		}
 	})
--- a/residency.go
+++ b/residency.go
@@ -11,7 +11,8 @@
 	Resident
 	// Tier is the tier from which the weights are loaded.
 	Tier CacheTier
-	// Remaining is the time until the load ends, estimated from its usual duration.
+	// Remaining is the time from the read of the engine until the load ends, estimated
+	// from its usual duration.
 	Remaining time.Duration
 }
 
@@ -38,6 +39,9 @@
 	Redundant Bytes
 	// Gateways lists the gateways that are connected to the keeper, ordered by id.
 	Gateways []Member
+	// Age is the time from the keeper's last read of the engine to the report. It grows
+	// from report to report while the engine is silent.
+	Age time.Duration
 	// Lifetime is the age up to which the report is valid. The next reports are due
 	// well before.
 	Lifetime time.Duration
