Count the demands of a gateway that lost its stream to a keeper

A keeper forgot a gateway's demands with its stream. Gateways reconnect after 0.1 to 2 s, so beside a link that was silent for a moment the keeper could unload a model in use for any other load request. Callers then waited for the model to be loaded again, or were refused.

The demands now count for 3 s after the gateway's last note, which is also how long a silent gateway with an open stream counts, or until the gateway's next stream brings new ones. Models that only a killed gateway used stay in use for up to 3 s longer than before.

On the commit before, TestLostStreamKeepsModelsInUse fails where the models in use must still be held: "false != true".

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -72,7 +72,10 @@
 
 	mu       sync.Mutex
 	sessions knapweedpulley.Set[*session]
-	endpoint knapweedpulley.EndpointID
+	// lostSessions are the sessions whose stream ended less than gatewayTimeout after the
+	// last note. Their demands still count, as their gateways may be reconnecting.
+	lostSessions knapweedpulley.Set[*session]
+	endpoint     knapweedpulley.EndpointID
 	// spec is the engine's configuration as a gateway sent it last, nil before.
 	spec *knapweedpulley.EngineSpec
 	// queue holds the open load requests, by priority and then in the order of
@@ -106,7 +109,7 @@
 	k := &Keeper{
 		engine: engine, clock: clock, log: log,
 		trigger:  make(chan struct{}, 1),
-		sessions: make(knapweedpulley.Set[*session]),
+		sessions: make(knapweedpulley.Set[*session]), lostSessions: make(knapweedpulley.Set[*session]),
 		loadedAt: make(map[knapweedpulley.ModelID]knapweedpulley.Instant),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -218,6 +221,7 @@
 	}
 	k.updateLoadTimes(now)
 	k.pruneQueue(now)
+	k.pruneLostSessions(now)
 	return nil
 }
 
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -223,3 +223,38 @@
 		is.New(f.t).Equal(f.countReports(5*time.Second), 0)
 	})
 }
+
+// loseGatewayInUse has a second gateway use the models a and b and lose its stream, and
+// requests the load of c, which fits only if one of them is unloaded.
+func (f *fixture) loseGatewayInUse() {
+	first := f.stream
+	f.setDemands(demand("a", 1, 0), demand("b", 1, 0))
+	disconnect := f.connect("two")
+	time.Sleep(time.Second)
+	disconnect()
+	f.stream = first
+	f.setDemands()
+	f.requestLoad("c", "", 10*time.Second)
+}
+
+func (f *fixture) assertKeepsModelsInUse() {
+	f.t.Helper()
+	f.assertHolds("a", "", true)
+	f.assertHolds("b", "", true)
+}
+
+func TestLostStreamKeepsModelsInUse(t *testing.T) {
+	runInBubble("demands count for some seconds after the stream of their gateway was lost", t, func(f *fixture) {
+		f.loseGatewayInUse()
+		time.Sleep(2 * time.Second)
+		f.assertKeepsModelsInUse()
+		time.Sleep(3 * time.Second)
+		f.assertHolds("c", "", true)
+	})
+	runInBubble("the notes of a gateway that has reconnected replace its lost demands", t, func(f *fixture) {
+		f.loseGatewayInUse()
+		defer f.connect("two")()
+		time.Sleep(1500 * time.Millisecond)
+		f.assertHolds("c", "", true)
+	})
+}
--- a/keeper/plan.go
+++ b/keeper/plan.go
@@ -22,17 +22,19 @@
 	u := usage{}
 	reporting := 0
 	spare := 0
-	for s := range k.sessions {
-		d, known := s.demands[resident]
-		if !known {
-			continue
-		}
-		reporting++
-		u.active += d.Active
-		u.rate += d.Rate
-		u.holders = max(u.holders, d.Holders)
-		if d.Redundant {
-			spare++
+	for _, sessions := range []knapweedpulley.Set[*session]{k.sessions, k.lostSessions} {
+		for s := range sessions {
+			d, known := s.demands[resident]
+			if !known {
+				continue
+			}
+			reporting++
+			u.active += d.Active
+			u.rate += d.Rate
+			u.holders = max(u.holders, d.Holders)
+			if d.Redundant {
+				spare++
+			}
 		}
 	}
 	u.spare = reporting > 0 && spare == reporting
--- a/keeper/session.go
+++ b/keeper/session.go
@@ -12,7 +12,7 @@
 )
 
 // gatewayTimeout is the time without a note after which the stream of a gateway
-// is closed: three of the gateway's sending intervals.
+// is closed and its demands no longer count: three of the gateway's sending intervals.
 const gatewayTimeout = 3 * time.Second
 
 const (
@@ -30,6 +30,7 @@
 	gateway    knapweedpulley.Member
 	reports    chan knapweedpulley.EngineReport
 	demands    map[knapweedpulley.Resident]knapweedpulley.ModelDemand
+	lastNoteAt knapweedpulley.Instant
 	lastReport knapweedpulley.EngineReport
 	lastSentAt knapweedpulley.Instant
 }
@@ -44,6 +45,9 @@
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.sessions.Remove(s)
+		if len(s.demands) > 0 {
+			k.lostSessions.Add(s)
+		}
 	}()
 	k.triggerReconcile()
 	receiveErr := make(chan error, 1)
@@ -100,7 +104,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.endpoint = note.Endpoint
-	s.gateway = note.Gateway
+	now := k.clock.Now()
+	s.gateway, s.lastNoteAt = note.Gateway, now
 	if spec, present := note.Engine.Get(); present {
 		k.spec = &spec
 	}
@@ -109,13 +114,34 @@
 		for _, d := range note.Demands {
 			s.demands[d.Resident] = d
 		}
+		k.removeLostSessions(note.Gateway.Entry)
 	}
-	now := k.clock.Now()
 	for _, wake := range note.LoadRequests {
 		k.enqueue(loadRequest{ResidentLoadRequest: wake, expiresAt: now.Add(wake.Expires)})
 	}
 }
 
+// removeLostSessions removes the lost sessions of a gateway that has connected again.
+// Gateways that visit have no name, so theirs stay until they expire.
+func (k *Keeper) removeLostSessions(id knapweedpulley.EntryID) {
+	if id == "" {
+		return
+	}
+	for s := range k.lostSessions {
+		if s.gateway.Entry == id {
+			k.lostSessions.Remove(s)
+		}
+	}
+}
+
+func (k *Keeper) pruneLostSessions(now knapweedpulley.Instant) {
+	for s := range k.lostSessions {
+		if now.Sub(s.lastNoteAt) >= gatewayTimeout {
+			k.lostSessions.Remove(s)
+		}
+	}
+}
+
 // enqueue adds a load request behind those of the same or a higher priority. A
 // request for a model or adapter that is already queued is merged with the queued
 // one, which keeps its place and gets the later expiry and the higher priority of
