Wait for a load whose keeper is silent

A gateway forgot a load in progress when its keeper's last report was older than its lifetime of 1.5 s. The engine was excluded at the same time, and the bound on the wait for an engine counted from the beginning of the call, so callers that had waited longer than 300 ms for the load got "no endpoint can currently load model m" at once, though the engine went on loading.

A load that the last report contains now counts as in progress until that report is 4 s old, which covers a silence of a second or two and the time to reconnect. So that a crashed engine isn't waited for that long, the gateway checks whether the engine still listens when it loses the stream to its keeper, and excludes it if not: another engine is then asked as early as before. An engine that neither refuses connections nor reports is waited for up to 2.5 s longer than before; nothing new is asked of it in that time. The bound on the wait counts from when no engine could load the model.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -117,8 +117,9 @@
 	p.peers = gateway.NewPeers(self)
 	suspects := p.newSuspects()
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
+	exchanger := platform.NewExchanger(pool)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
-		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Clock: clock, Log: p.log,
+		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Exchanger: exchanger, Clock: clock, Log: p.log,
 		Port: p.settings.KeeperPort, RemoteLoads: p.settings.RemoteLoads, Gateways: p.settings.Gateways, Self: self,
 	})
 	p.placer = placer
@@ -133,7 +134,6 @@
 		OnConfiguration: p.configure, OnEndpoints: p.fleet.Update,
 	})
 	p.follower = follower
-	exchanger := platform.NewExchanger(pool)
 	p.clock = clock
 	p.gateway = gateway.New(gateway.Options{
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -138,9 +138,9 @@
 	return knapweedpulley.Instant(e.avoidUntil.Load()).After(e.clock.Now())
 }
 
-// unreachable reports whether the endpoint refused connections recently and its
+// Unreachable reports whether the endpoint refused connections recently and its
 // keeper has not read it since.
-func (e *Endpoint) unreachable() bool {
+func (e *Endpoint) Unreachable() bool {
 	return knapweedpulley.Instant(e.unreachableUntil.Load()).After(e.clock.Now())
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -82,7 +82,7 @@
 func (f *Fleet) ApplyReport(e *Endpoint, r knapweedpulley.EngineReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before, unreachable := e.Models(), e.unreachable()
+	before, unreachable := e.Models(), e.Unreachable()
 	e.setReport(r)
 	if unreachable || !knapweedpulley.SameModels(before, e.Models()) {
 		last := f.index.Load()
@@ -97,7 +97,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	last := f.index.Load()
-	if e.unreachable() || len(last.services[e.Registration().Service]) < 2 {
+	if e.Unreachable() || len(last.services[e.Registration().Service]) < 2 {
 		return
 	}
 	e.unreachableUntil.Store(int64(f.clock.Now().Add(unreachableTime)))
@@ -164,7 +164,7 @@
 	ordered := slices.SortedFunc(maps.Values(byID), func(a, b *Endpoint) int { return cmp.Compare(a.id, b.id) })
 	for _, e := range ordered {
 		entry := e.Registration()
-		if entry.Draining || e.unreachable() {
+		if entry.Draining || e.Unreachable() {
 			continue
 		}
 		x.services[entry.Service] = append(x.services[entry.Service], e)
--- a/placement/keepersession.go
+++ b/placement/keepersession.go
@@ -23,6 +23,8 @@
 	// keepAlivePeriod is the time after which a note is sent even if nothing has changed, so
 	// that the keeper knows that the gateway is alive.
 	keepAlivePeriod = time.Second
+	// probeTimeout bounds the check whether an engine still listens.
+	probeTimeout = 300 * time.Millisecond
 	// rateChangeRatio is the ratio by which a rate must change to be sent again.
 	// minRequestsPerSecond is the rate below which changes don't matter.
 	rateChangeRatio      = 1.3
@@ -74,12 +76,23 @@
 		attempted = true
 		if reported {
 			delay = minRetryDelay
+			s.checkEngine(ctx)
 		}
 		_ = machine.Pause(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
+// checkEngine excludes the engine if it no longer listens. Loads in progress at an engine that
+// still does are waited for while its keeper is silent.
+func (s *keeperSession) checkEngine(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if s.placer.exchanger.RefusesConnections(ctx, s.endpoint.Registration().Address) {
+		s.placer.fleet.MarkUnreachable(s.endpoint)
+	}
+}
+
 // address returns the host and port of the keeper, which runs on the engine's machine.
 func (s *keeperSession) address() string {
 	host, _, err := net.SplitHostPort(s.endpoint.Registration().Address)
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -16,6 +16,9 @@
 	// acceptanceTimeout is the time within which a keeper's report shows a load request that was
 	// sent to it.
 	acceptanceTimeout = 400 * time.Millisecond
+	// maxLoadSilence is the age of the last report up to which a load that it contains is
+	// assumed to go on. It covers a silence of the keeper and the time to reconnect.
+	maxLoadSilence = 4 * time.Second
 	// busyEngineWait is the typical time until one of the models of an engine becomes idle when
 	// all are in use: half the duration of a long answer.
 	busyEngineWait = 1500 * time.Millisecond
@@ -89,7 +92,7 @@
 	t := loadTarget{service: r.Service, weights: r.Weights}
 	timer := time.NewTimer(recheckPeriod)
 	defer timer.Stop()
-	began := p.clock.Now()
+	placeableAt := p.clock.Now()
 	for {
 		changed := p.fleet.Changed()
 		if len(p.fleet.Holders(r.Service, r.Weights)) > 0 {
@@ -106,7 +109,10 @@
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
 				"loading model %s takes %s", r.Weights.Model, eta).WithRetryAfter(eta)
 		}
-		if !possible && p.clock.Now().Sub(began) > maxUnplaceableWait {
+		if possible {
+			placeableAt = p.clock.Now()
+		}
+		if p.clock.Now().Sub(placeableAt) > maxUnplaceableWait {
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
 				"no endpoint can currently load model %s", r.Weights.Model).WithRetryAfter(busyEngineWait)
 		}
@@ -221,18 +227,22 @@
 		return 0, false
 	}
 	r, age, fresh := load.endpoint.Report()
-	if !fresh {
-		left := load.expectedAt.Sub(p.clock.Now())
-		return max(0, left), p.awaitsFirstReport(load.endpoint)
+	switch {
+	case fresh:
+	case p.awaitsFirstReport(load.endpoint):
+		return max(0, load.expectedAt.Sub(p.clock.Now())), true
+	case r == nil || age >= maxLoadSilence || load.endpoint.Unreachable():
+		return 0, false
 	}
 	spec := p.engineSpec(t.service)
 	if spec == nil {
 		return 0, false
 	}
-	for _, l := range r.Loading {
-		if l.Resident == t.weights || (l.Adapter == "" && l.Model == t.weights.Model) {
-			return max(0, l.Remaining-age), true
-		}
+	if left, loading := remainingLoadTime(r, age, t.weights); loading {
+		return left, true
+	}
+	if !fresh {
+		return 0, false
 	}
 	for _, q := range r.Queue {
 		if q == t.weights {
@@ -245,6 +255,19 @@
 	return 0, false
 }
 
+// remainingLoadTime returns the time until an engine has loaded a target, or the model that the
+// target needs first, and false if the engine loads neither.
+func remainingLoadTime(
+	r *knapweedpulley.EngineReport, age time.Duration, w knapweedpulley.Resident,
+) (time.Duration, bool) {
+	for _, l := range r.Loading {
+		if l.Resident == w || (l.Adapter == "" && l.Model == w.Model) {
+			return max(0, l.Remaining-age), true
+		}
+	}
+	return 0, false
+}
+
 // chooseEndpoint returns the endpoint that would finish loading a target first, with the estimated
 // time and the tier from which it loads. It returns false if no endpoint can load the target.
 func (p *Placer) chooseEndpoint(t loadTarget) (*fleet.Endpoint, time.Duration, knapweedpulley.CacheTier, bool) {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -34,8 +34,10 @@
 	Fleet  *fleet.Fleet
 	Demand *Demand
 	Link   knapweedpulley.KeeperLink
-	Clock  knapweedpulley.Clock
-	Log    log.Interface
+	// Exchanger is asked whether an engine still listens when its keeper has become silent.
+	Exchanger knapweedpulley.Exchanger
+	Clock     knapweedpulley.Clock
+	Log       log.Interface
 	// Port is the port of the keepers; it is the same on all machines.
 	Port int
 	// RemoteLoads is the number of concurrent loads from the weight store that still run at full
@@ -52,6 +54,7 @@
 	fleet       *fleet.Fleet
 	demand      *Demand
 	link        knapweedpulley.KeeperLink
+	exchanger   knapweedpulley.Exchanger
 	clock       knapweedpulley.Clock
 	log         log.Interface
 	port        int
@@ -74,7 +77,8 @@
 // NewPlacer returns a placer and connects to the keepers. The clean-up closes the streams to them.
 func NewPlacer(o Options) (*Placer, knapweedpulley.Cleanup) {
 	p := &Placer{
-		fleet: o.Fleet, demand: o.Demand, link: o.Link, clock: o.Clock, log: o.Log, port: o.Port, self: o.Self,
+		fleet: o.Fleet, demand: o.Demand, link: o.Link, exchanger: o.Exchanger, clock: o.Clock, log: o.Log,
+		port: o.Port, self: o.Self,
 		remoteLoads: o.RemoteLoads, loadLimiter: newLoadLimiter(o.Gateways),
 		pendingLoads: make(map[loadTarget]*pendingLoad),
 		sessions:     make(map[knapweedpulley.EndpointID]*keeperSession),
