--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -115,10 +115,11 @@
 		Zone: p.settings.Zone, Address: p.settings.Links,
 	}
 	p.peers = gateway.NewPeers(self)
-	suspects := endpoint.NewSuspects(p.peers, link.NewSuspectSender(connections))
+	suspects := p.newSuspects()
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
+	exchanger := platform.NewExchanger(pool)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
-		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Clock: clock, Log: p.log,
+		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Exchanger: exchanger, Clock: clock, Log: p.log,
 		Port: p.settings.KeeperPort, RemoteLoads: p.settings.RemoteLoads, Gateways: p.settings.Gateways, Self: self,
 	})
 	p.placer = placer
@@ -133,7 +134,6 @@
 		OnConfiguration: p.configure, OnEndpoints: p.fleet.Update,
 	})
 	p.follower = follower
-	exchanger := platform.NewExchanger(pool)
 	p.clock = clock
 	p.gateway = gateway.New(gateway.Options{
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
@@ -161,6 +161,13 @@
 	return p.serveCallers()
 }
 
+// newSuspects returns the list of contents that crash endpoints, with connections of its own.
+func (p *process) newSuspects() *endpoint.Suspects {
+	connections, closeConnections := link.NewConnections(nil)
+	p.cleanups.Add(closeConnections)
+	return endpoint.NewSuspects(p.peers, link.NewSuspectSender(connections))
+}
+
 // configure applies a configuration that came into force.
 func (p *process) configure(s *installation.Snapshot) {
 	ownLimits := knapweedpulley.CallerLimits{
