End a listing whose next page leads to itself

What callers saw: if the last item of a page of a listing had a name of another type and more pages followed, the gateway read the first page over and over, without a pause, and kept the objects of each. It never got to watch the collection, and its memory grew until the process ended.

Cause: the page continued after an empty name, which stands for the first page. The client followed each page that was announced.

Why it works: a page continues after its last item with a name, and the items after it come again at the start of the next page.

--- a/store/client.go
+++ b/store/client.go
@@ -133,6 +133,9 @@
 		if !continues {
 			return result, nil
 		}
+		if next == afterName {
+			return knapweedpulley.Listing{}, errors.Newf("list %s: the page after %q leads to itself", kind, afterName)
+		}
 		afterName = next
 	}
 }
