Log an odd registration once and with a short reason

What operators would have seen: an odd entry that its writer writes again and again gave a line at each gateway for each write, and an entry with a number of a million digits a line of a megabyte. The log queue drops lines above its rate, so they pushed out others.

Cause: the line was written at each change of the entry, with the whole text of the error, which may quote the entry.

Why it works: the follower remembers which registrations it has logged as invalid until they are valid or gone, which is when the belief changes. The reason is cut to 300 bytes.

--- a/installation/follower.go
+++ b/installation/follower.go
@@ -54,6 +54,8 @@
 	// registration about once per second, and the interval limits the number of
 	// calls to the store, since each of them is paid for.
 	endpointWatchInterval = 500 * time.Millisecond
+	// maxReasonLength bounds the length in bytes of the logged reason why a registration is invalid.
+	maxReasonLength = 300
 )
 
 // Options holds the dependencies of a follower.
@@ -89,6 +91,8 @@
 	endpoints map[knapweedpulley.EndpointID]knapweedpulley.RegisteredEndpoint
 	// missing holds the endpoints whose registrations vanished but may come back.
 	missing knapweedpulley.Set[knapweedpulley.EndpointID]
+	// invalid holds the endpoints whose registrations are logged as invalid.
+	invalid knapweedpulley.Set[knapweedpulley.EndpointID]
 }
 
 // NewFollower starts to follow an installation. The clean-up stops that.
@@ -101,6 +105,7 @@
 		onConfiguration: o.OnConfiguration,
 		endpoints:       make(map[knapweedpulley.EndpointID]knapweedpulley.RegisteredEndpoint),
 		missing:         make(knapweedpulley.Set[knapweedpulley.EndpointID]),
+		invalid:         make(knapweedpulley.Set[knapweedpulley.EndpointID]),
 	}
 	// Changes of the endpoints may arrive before New returns. They need the
 	// Configuration, and wait for mu until it is set.
@@ -201,10 +206,11 @@
 	f.missing.Remove(id)
 	e, err := f.decoder.Endpoint(id, o.Value)
 	if err != nil {
-		f.log.WithField("endpoint", id).WithField("revision", o.Revision).WithError(err).Warn("invalid endpoint registration, not using the endpoint")
 		delete(f.endpoints, id)
+		f.logInvalid(o, err)
 		return
 	}
+	f.invalid.Remove(id)
 	last, known := f.endpoints[id]
 	if !known || last.Start != e.Start || last.Draining != e.Draining {
 		f.log.WithField("endpoint", id).WithField("address", e.Address).WithField("start", e.Start).
@@ -213,10 +219,26 @@
 	f.endpoints[id] = e
 }
 
+// logInvalid logs that a registration is invalid, unless the one before it was as well. The caller
+// holds mu.
+func (f *Follower) logInvalid(o knapweedpulley.Object, err error) {
+	id := knapweedpulley.EndpointID(o.Name)
+	if f.invalid.Has(id) {
+		return
+	}
+	f.invalid.Add(id)
+	// The reason may quote any length of the registration.
+	reason := err.Error()
+	reason = reason[:min(len(reason), maxReasonLength)]
+	f.log.WithField("endpoint", id).WithField("revision", o.Revision).WithField("error", reason).
+		Warn("invalid endpoint registration, not using the endpoint")
+}
+
 // removeEndpoint handles a registration that no longer exists. Registrations may
 // lapse during a store outage, so one that vanished then or shortly after may come
 // back: its endpoint is kept, unless it is draining. The caller holds mu.
 func (f *Follower) removeEndpoint(id knapweedpulley.EndpointID) {
+	f.invalid.Remove(id)
 	e, known := f.endpoints[id]
 	if !known || f.missing.Has(id) {
 		return
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -1,8 +1,9 @@
 package installation_test
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,7 @@
 	mu        sync.Mutex
 	endpoints knapweedpulley.Set[knapweedpulley.EndpointID]
 	updates   int
+	logged    bytes.Buffer
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -41,7 +43,7 @@
 func (f *fixture) start() {
 	follower, cleanup := installation.NewFollower(installation.Options{
 		Objects: f.store, Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
-		Log:             logbook.New(io.Discard, log.InfoLevel, "test", "test"),
+		Log:             logbook.New(f, log.InfoLevel, "test", "test"),
 		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.apply,
 	})
 	f.follower = follower
@@ -49,6 +51,26 @@
 	synctest.Wait()
 }
 
+// Write implements io.Writer for the log.
+func (f *fixture) Write(line []byte) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.logged.Write(line)
+}
+
+// linesWith returns the logged lines that contain a text.
+func (f *fixture) linesWith(text string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var lines []string
+	for line := range strings.Lines(f.logged.String()) {
+		if strings.Contains(line, text) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 func (f *fixture) apply(list []knapweedpulley.RegisteredEndpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -69,8 +91,12 @@
 
 func (f *fixture) write(kind knapweedpulley.Kind, name string, value any) {
 	f.t.Helper()
-	data, err := json.Marshal(value)
-	is.New(f.t).NoErr(err)
+	data, raw := value.(json.RawMessage)
+	if !raw {
+		var err error
+		data, err = json.Marshal(value)
+		is.New(f.t).NoErr(err)
+	}
 	r, err := f.store.Put(f.t.Context(), kind, name, data, f.revisions[name])
 	is.New(f.t).NoErr(err)
 	f.revisions[name] = r
@@ -250,6 +276,37 @@
 		})
 }
 
+func (f *fixture) assertInvalidLogged(times int) {
+	f.t.Helper()
+	is := is.New(f.t)
+	lines := f.linesWith("invalid endpoint registration")
+	is.Equal(len(lines), times)
+	for _, l := range lines {
+		is.True(len(l) < 1000)
+	}
+}
+
+func TestOddRegistrationIsLoggedOnce(t *testing.T) {
+	runWithFakeTime("a registration that is written again and again", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		for n := range 5 {
+			f.put(knapweedpulley.KindEndpoints, "odd", n)
+		}
+		f.assertInvalidLogged(1)
+		f.register("odd")
+		f.put(knapweedpulley.KindEndpoints, "odd", "nonsense")
+		f.assertInvalidLogged(2)
+		f.remove("odd")
+		f.put(knapweedpulley.KindEndpoints, "odd", "nonsense")
+		f.assertInvalidLogged(3)
+	})
+	runWithFakeTime("a registration with a long number", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.put(knapweedpulley.KindEndpoints, "odd", json.RawMessage(`{"Slots":`+strings.Repeat("9", 1<<20)+`}`))
+		f.assertInvalidLogged(1)
+	})
+}
+
 func assertCode(t *testing.T, err error, want knapweedpulley.Code) {
 	t.Helper()
 	is := is.New(t)
