Guard that an odd registration changes only its own endpoint

An endpoint whose entry turns odd, also in an outage of the store, goes out of use; if the odd entry is deleted, no other endpoint goes with it. Gateways pass odd bytes on to each other, patched and larger than an update, and all follow the changes after them.

--- a/installation/fleet_test.go
+++ b/installation/fleet_test.go
@@ -1,8 +1,10 @@
 package installation_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -180,6 +182,20 @@
 		f.write(knapweedpulley.KindEndpoints, "i-1", knapweedpulley.RegisteredEndpoint{Address: "10.0.0.1:1"})
 		f.assertEverywhere("i-1", true, time.Second, all)
 	})
+	withGateways("an odd registration keeps no gateway from following the others", t, 3, 8, func(f *gatewayFleet) {
+		for n, odd := range []string{
+			deeplyNested, deeplyNested[1:], "\x00\xff", "", strings.Repeat("\xff", 1000), strings.Repeat("\xff", 1001),
+			`{"Slots":1e400}`, `{"Slots":"` + strings.Repeat("x", 2<<20) + `"}`,
+		} {
+			f.write(knapweedpulley.KindEndpoints, "odd", json.RawMessage(odd))
+			id := fmt.Sprintf("i-%d", n+1)
+			f.write(knapweedpulley.KindEndpoints, id, knapweedpulley.RegisteredEndpoint{Address: "10.0.0.1:1"})
+			f.assertEverywhere(knapweedpulley.EndpointID(id), true, time.Second, all)
+		}
+		for _, g := range f.gateways {
+			is.New(f.t).True(!g.uses("odd"))
+		}
+	})
 	withGateways("an endpoint that leaves is out of use in time though all watchers of the store freeze", t, 3, 8,
 		func(f *gatewayFleet) {
 			frozen := knapweedpulley.NewSet[knapweedpulley.EntryID]()
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -20,6 +20,9 @@
 	storefake "github.com/knapweedpulley/knapweedpulley/store/fake"
 )
 
+// deeplyNested is nested more deeply than encoding/json decodes.
+var deeplyNested = strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+
 // fixture is a follower with a fake store. It records the endpoints that the
 // follower passes on.
 type fixture struct {
@@ -307,6 +310,31 @@
 	})
 }
 
+func TestOddRegistrationIsRemovedAlone(t *testing.T) {
+	runWithFakeTime("a registration that turns odd and vanishes", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.register("good")
+		f.register("odd")
+		f.put(knapweedpulley.KindEndpoints, "odd", json.RawMessage(deeplyNested))
+		f.assertUses("odd", false)
+		f.remove("odd")
+		f.assertUses("good", true)
+		f.register("odd")
+		f.assertUses("odd", true)
+	})
+	runWithFakeTime("a registration that is odd when the store returns", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.register("good")
+		f.register("odd")
+		f.store.SetDown(true)
+		time.Sleep(5 * time.Second)
+		f.store.SetDown(false)
+		f.put(knapweedpulley.KindEndpoints, "odd", json.RawMessage(`5`))
+		f.assertUses("odd", false)
+		f.assertUses("good", true)
+	})
+}
+
 func assertCode(t *testing.T, err error, want knapweedpulley.Code) {
 	t.Helper()
 	is := is.New(t)
