Let no endpoint of an unknown service hide another

What callers saw: an entry with a service that the configuration doesn't have, the address of a sound endpoint and a later start took that endpoint out of use for as long as the entry stood.

Cause: of several entries with one address the latest is used, because the address of a crashed endpoint may be in use again. Whether the later one names an endpoint to use was not asked.

Evidence: TestRegistrationOfUnknownServiceHidesNoEndpoint on the commit before:

installation_test.go:155: true != false

Why it works: the follower leaves out an endpoint of an unknown service if one of a known service has its address. Others of unknown services stay as they were, so that a service which a configuration adds has its endpoints at once; a new configuration passes on the endpoints again.

An odd entry with a known service, the address of a sound endpoint and a later start still hides it.

--- a/installation/follower.go
+++ b/installation/follower.go
@@ -180,6 +180,7 @@
 	}
 	s := NewSnapshot(i)
 	f.current.Store(s)
+	f.republishEndpoints()
 	f.log.WithField("version", i.Version).WithField("revision", o.Revision).
 		WithField("routes", len(i.Routes)).WithField("customers", len(i.Accounts)).Info("configuration in force")
 	f.onConfiguration(s)
@@ -276,11 +277,41 @@
 	f.publishEndpoints()
 }
 
+// republishEndpoints passes the usable endpoints on again after a change of the services.
+func (f *Follower) republishEndpoints() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.endpoints) > 0 {
+		f.publishEndpoints()
+	}
+}
+
 // publishEndpoints passes the usable endpoints to onEndpoints. The caller holds mu.
+//
+// Of several endpoints with one address, the latest one is used. So an endpoint of a service that
+// the configuration doesn't have is left out if one of a service that it has uses the address.
 func (f *Follower) publishEndpoints() {
+	known := make(knapweedpulley.Set[string], len(f.endpoints))
+	for _, e := range f.endpoints {
+		if f.hasService(e.Service) {
+			known.Add(e.Address)
+		}
+	}
 	list := make([]knapweedpulley.RegisteredEndpoint, 0, len(f.endpoints))
 	for _, e := range f.endpoints {
-		list = append(list, e)
+		if f.hasService(e.Service) || !known.Has(e.Address) {
+			list = append(list, e)
+		}
 	}
 	f.onEndpoints(list)
 }
+
+// hasService reports whether the last configuration has a service.
+func (f *Follower) hasService(id knapweedpulley.ServiceID) bool {
+	s := f.current.Load()
+	if s == nil {
+		return false
+	}
+	_, has := s.Services[id]
+	return has
+}
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -335,6 +335,35 @@
 	})
 }
 
+func TestRegistrationOfUnknownServiceHidesNoEndpoint(t *testing.T) {
+	sound := knapweedpulley.RegisteredEndpoint{Service: "llm", Address: "10.0.0.1:1", Start: 1}
+	later := knapweedpulley.RegisteredEndpoint{Service: "novel", Address: "10.0.0.1:1", Start: 2}
+	configuration := knapweedpulley.Installation{
+		Version: 1, Services: map[knapweedpulley.ServiceID]knapweedpulley.Service{"llm": {ID: "llm"}},
+	}
+	runWithFakeTime("an endpoint of an unknown service at the address of another is not used", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.put(knapweedpulley.KindEndpoints, "sound", sound)
+		f.put(knapweedpulley.KindEndpoints, "later", later)
+		f.put(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, configuration)
+		f.assertUses("sound", true)
+		f.assertUses("later", false)
+	})
+	runWithFakeTime("it is used once the configuration has its service", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.put(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, configuration)
+		f.put(knapweedpulley.KindEndpoints, "sound", sound)
+		f.put(knapweedpulley.KindEndpoints, "later", later)
+		f.assertUses("later", false)
+		next := configuration
+		next.Version = 2
+		next.Services = map[knapweedpulley.ServiceID]knapweedpulley.Service{"llm": {ID: "llm"}, "novel": {ID: "novel"}}
+		f.put(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, next)
+		f.assertUses("later", true)
+		f.assertUses("sound", true) // The fleet decides which of them is used.
+	})
+}
+
 func assertCode(t *testing.T, err error, want knapweedpulley.Code) {
 	t.Helper()
 	is := is.New(t)
