Wake a starting process when its content becomes fresh

What callers saw: a process whose content became fresh at the wrong moment was ready only after the next refresh or a decision period, and refused until then.

Cause: the channel of the next refresh was taken after the content had been checked, so a refresh in between was missed.

Why it works: the channel is taken before the check, as the feeds do.

--- a/configuration/startup.go
+++ b/configuration/startup.go
@@ -25,6 +25,8 @@
 func (c *Configuration) signalWhenReady(ctx context.Context) {
 	deadline := c.clock.Now().Add(startupGracePeriod)
 	for ctx.Err() == nil {
+		// A refresh after this is not missed.
+		refreshed := c.refreshed.wait()
 		if c.loaded() && c.fresh() {
 			break
 		}
@@ -32,19 +34,19 @@
 			c.log.Warn("store unreachable, using the configuration of the peers")
 			break
 		}
-		c.awaitRefresh(ctx)
+		awaitRefresh(ctx, refreshed)
 	}
 	if ctx.Err() == nil {
 		c.once.Do(func() { close(c.ready) })
 	}
 }
 
-// awaitRefresh waits until evidence advances, at most for decisionPeriod.
-func (c *Configuration) awaitRefresh(ctx context.Context) {
+// awaitRefresh waits until refreshed is closed, at most for decisionPeriod.
+func awaitRefresh(ctx context.Context, refreshed <-chan struct{}) {
 	timer := time.NewTimer(decisionPeriod)
 	defer timer.Stop()
 	select {
-	case <-c.refreshed.wait():
+	case <-refreshed:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
