Decode the store's lists object by object

What callers would have seen: one odd permit, customer or entry process failed each list and watch of its collection. The store of the stand-in takes values of up to 10,000 levels, and a list adds three, so a value that the store had accepted could do that.

Cause: encoding/json checks and decodes the whole answer at once.

Why it works: the answer is split by package rawjson, and each object is decoded by itself. Who reads the collections decodes each value by itself already.

--- a/store/client_test.go
+++ b/store/client_test.go
@@ -215,3 +215,54 @@
 		assertListingEnds(t, `{"items":[{"metadata":{"name":7,"revision":3}}],"hasMore":true,"currentRev":12}`, 1)
 	})
 }
+
+func assertOddObjectCostsNoOther(t *testing.T, odd, names string) {
+	t.Helper()
+	is := is.New(t)
+	c := newClientOfHandler(t, func(w http.ResponseWriter, r *http.Request) {
+		member := "objects"
+		if strings.HasPrefix(r.URL.Path, "/watch/") {
+			member = "changes"
+		}
+		_, _ = w.Write([]byte(`{"` + member + `":[{"kind":"permits","name":"a","revision":5,"value":{}},` + odd +
+			`,{"kind":"permits","name":"z","revision":6,"value":{}}],"revision":9}`))
+	})
+	l, err := c.List(t.Context(), kind)
+	is.NoErr(err)
+	changes, revision, err := c.Watch(t.Context(), kind, 4, time.Second)
+	is.NoErr(err)
+	is.Equal(revision, knapweedpulley.Revision(9))
+	var listed, changed []string
+	for _, o := range l.Objects {
+		listed = append(listed, o.Name)
+	}
+	for _, o := range changes {
+		is.True(o.Revision > 0)
+		is.Equal(o.Kind, kind)
+		changed = append(changed, o.Name)
+	}
+	is.Equal(strings.Join(listed, " "), names)
+	is.Equal(strings.Join(changed, " "), names)
+}
+
+func TestOddObjectCostsNoOther(t *testing.T) {
+	deep := strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+	t.Run("a value that can't be decoded", func(t *testing.T) {
+		for _, value := range []string{deep, "NaN", "\"\xff\x00\"", "1e400"} {
+			assertOddObjectCostsNoOther(t, `{"kind":"permits","name":"odd","revision":7,"value":`+value+`}`, "a odd z")
+		}
+	})
+	t.Run("a member of another type", func(t *testing.T) {
+		for _, member := range []string{`"revision":1e400`, `"revision":-1`, `"revision":"7"`} {
+			assertOddObjectCostsNoOther(t, `{"kind":"permits","name":"odd",`+member+`,"value":{}}`, "a odd z")
+		}
+		for _, member := range []string{`"kind":7`, `"deleted":"x"`, `"unknown":` + deep} {
+			assertOddObjectCostsNoOther(t, `{"name":"odd","revision":7,`+member+`,"value":{}}`, "a odd z")
+		}
+	})
+	t.Run("no name", func(t *testing.T) {
+		for _, odd := range []string{"5", "null", deep, "{}", `{"name":7}`, `{"name":` + deep + `}`} {
+			assertOddObjectCostsNoOther(t, odd, "a z")
+		}
+	})
+}
--- a/store/codec.go
+++ b/store/codec.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/url"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/rawjson"
 )
 
 // codec implements knapweedpulley.StoreCodec for the project's own format, which the
@@ -54,22 +56,24 @@
 	return o.object(), err
 }
 
-// Listing implements knapweedpulley.StoreCodec.
+// Listing implements knapweedpulley.StoreCodec. Each object is decoded by itself. One that can't be
+// decoded stays in the listing without a value, because it exists.
 func (codec) Listing(
-	_ knapweedpulley.Kind, body []byte,
+	kind knapweedpulley.Kind, body []byte,
 ) (knapweedpulley.Listing, knapweedpulley.Option[string], error) {
-	var l listing
-	err := decode(body, &l)
-	return l.listing(), knapweedpulley.None[string](), err
+	changes, revision, err := decodeObjects(kind, body, "objects")
+	l := knapweedpulley.Listing{Revision: revision, Objects: make([]knapweedpulley.Object, 0, len(changes))}
+	for _, c := range changes {
+		l.Objects = append(l.Objects, c.Object)
+	}
+	return l, knapweedpulley.None[string](), err
 }
 
-// Changes implements knapweedpulley.StoreCodec.
+// Changes implements knapweedpulley.StoreCodec. Each change is decoded by itself, as in Listing.
 func (codec) Changes(
-	_ knapweedpulley.Kind, body []byte,
+	kind knapweedpulley.Kind, body []byte,
 ) ([]knapweedpulley.Change, knapweedpulley.Revision, error) {
-	var l changeList
-	err := decode(body, &l)
-	return l.changes(), l.Revision, err
+	return decodeObjects(kind, body, "changes")
 }
 
 // Written implements knapweedpulley.StoreCodec.
@@ -90,3 +94,60 @@
 func decode(body []byte, answer any) error {
 	return errors.Wrap(json.Unmarshal(body, answer), "decode store answer")
 }
+
+// decodeObjects decodes the objects in a member of an answer, and the revision of the answer.
+func decodeObjects(
+	kind knapweedpulley.Kind, body []byte, member string,
+) ([]knapweedpulley.Change, knapweedpulley.Revision, error) {
+	answer, err := rawjson.Members(body)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "decode store answer")
+	}
+	var revision knapweedpulley.Revision
+	if err := decodeMember(answer, "revision", &revision); err != nil {
+		return nil, 0, err
+	}
+	objects, err := rawjson.Elements(answer[member])
+	if err != nil {
+		return nil, 0, errors.Wrapf(err, "decode %s of store answer", member)
+	}
+	changes := make([]knapweedpulley.Change, 0, len(objects))
+	for _, o := range objects {
+		if c, named := decodeLenient(kind, o, revision); named {
+			changes = append(changes, c)
+		}
+	}
+	return changes, revision, nil
+}
+
+// decodeLenient decodes an object of an answer that is complete up to the given revision. It
+// returns false if the name can't be decoded. An object of which another member can't be decoded
+// gets no value and changed no later than that revision.
+func decodeLenient(
+	kind knapweedpulley.Kind, text json.RawMessage, complete knapweedpulley.Revision,
+) (knapweedpulley.Change, bool) {
+	// An error leaves members out.
+	members, _ := rawjson.Members(text)
+	c := knapweedpulley.Change{Object: knapweedpulley.Object{Kind: kind}}
+	if err := decodeMember(members, "name", &c.Name); err != nil || c.Name == "" {
+		return c, false
+	}
+	err := errors.CombineErrors(
+		decodeMember(members, "revision", &c.Revision), decodeMember(members, "deleted", &c.Deleted))
+	if err != nil {
+		c.Revision, c.Deleted = complete, false
+		return c, true
+	}
+	// The members share the memory of the whole answer.
+	c.Value = bytes.Clone(members["value"])
+	return c, true
+}
+
+// decodeMember decodes a member of an object unless it is left out.
+func decodeMember(members map[string]json.RawMessage, name string, value any) error {
+	text, present := members[name]
+	if !present {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(text, value), "decode %s of store answer", name)
+}
