Bound the numbers of requests that an endpoint reports

What callers would have seen: an endpoint whose answers or reports name an immense number of requests was chosen before all others.

Cause: the sum of running and waiting requests, or the cost computed from it, wrapped round and became negative.

Evidence: TestLoadOutOfRangeDoesNotAttractRequests on the commit before:

fleet_test.go:43: a != b --- FAIL: .../an_answer_with_a_large_load --- FAIL: .../a_report_with_a_large_load

Why it works: the numbers are limited to 0 to 1,000,000 where they arrive, which leaves room for all costs.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -20,6 +20,9 @@
 	// failureWeight is the weight of the last request in the moving average of
 	// failures, which covers about the last ten requests.
 	failureWeight = 0.1
+	// maxLoad bounds the numbers of requests that an endpoint reports, so that the costs fit into 64
+	// bits.
+	maxLoad = 1_000_000
 )
 
 // receivedReport is a keeper's report with the state at its arrival.
@@ -150,15 +153,22 @@
 
 // Observe records the load that the endpoint reported with an answer.
 func (e *Endpoint) Observe(l knapweedpulley.EndpointLoad) {
+	l.Running, l.Waiting = bounded(l.Running), bounded(l.Waiting)
 	e.load.Store(&receivedLoad{EndpointLoad: l, active: e.active.Load()})
 }
 
 // setReport stores a keeper's report, which also shows that the endpoint is reachable.
 func (e *Endpoint) setReport(r knapweedpulley.EngineReport) {
 	e.unreachableUntil.Store(0)
+	r.Running, r.Waiting = bounded(r.Running), bounded(r.Waiting)
 	e.report.Store(&receivedReport{EngineReport: r, at: e.clock.Now(), active: e.active.Load()})
 }
 
+// bounded returns a reported number of requests, limited to 0 to maxLoad.
+func bounded(n int) int {
+	return min(max(n, 0), maxLoad)
+}
+
 // Outcome is the outcome of a request at an endpoint.
 type Outcome int
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,6 +114,28 @@
 	})
 }
 
+func TestLoadOutOfRangeDoesNotAttractRequests(t *testing.T) {
+	loads := []knapweedpulley.EndpointLoad{
+		{Running: math.MaxInt, Waiting: math.MaxInt, Slots: 1},
+		{Running: math.MaxInt / 2, Slots: 1},
+		{Running: 5_000_000_000_000, Slots: math.MinInt},
+	}
+	for _, l := range loads {
+		inBubble("an answer with a large load", t, func(t *testing.T, f *fleet.Fleet) {
+			f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "m")})
+			f.Endpoints()["a"].Observe(l)
+			assertChoice(t, f, requirements("m"), "b")
+		})
+		inBubble("a report with a large load", t, func(t *testing.T, f *fleet.Fleet) {
+			f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "m")})
+			f.ApplyReport(f.Endpoints()["a"], knapweedpulley.EngineReport{
+				Lifetime: reportLifetime, Start: 1, Models: loaded("m"), Running: l.Running, Waiting: l.Waiting,
+			})
+			assertChoice(t, f, requirements("m"), "b")
+		})
+	}
+}
+
 func TestLose(t *testing.T) {
 	inBubble("an endpoint that refuses connections is excluded until its keeper reports", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "n")})
