Pause between two lists of a store that forgets each change

Found by the developer of the odd entries: a store that answers each watch with "these changes are gone" and each list with success was listed without a pause. The processor time was missing for callers, and each list is paid for.

--- a/configuration/watch.go
+++ b/configuration/watch.go
@@ -46,7 +46,7 @@
 
 // run lists and watches the collection until ctx ends.
 func (w *tableWatcher) run(ctx context.Context) {
-	failing := false
+	failing, compacted := false, false
 	defer func() {
 		if failing {
 			w.failingCollections.Add(-1)
@@ -69,6 +69,13 @@
 			w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision)).
 				Warn("changes were compacted, listing the collection again")
 			err = w.list(ctx, w.clock.Now())
+			if compacted && err == nil {
+				// A store that discards all changes at once must not be listed without a pause.
+				_ = machine.Pause(ctx, heartbeatPeriod)
+			}
+			compacted = true
+		} else {
+			compacted = false
 		}
 		if ctx.Err() != nil {
 			return
