Name the request and its prompt parts in the log line on a crash

The line named only the content of a request, so that it could not be told which request ran at a crash, nor what the requests at several crashes have in common.

--- a/exchange.go
+++ b/exchange.go
@@ -50,6 +50,12 @@
 	return Resident{Model: model, Adapter: adapter}
 }
 
+// SharedParts returns the prompt parts that other calls can have too. The last part is specific to
+// the call or its session.
+func (c *Call) SharedParts() []PromptPart {
+	return c.PromptParts[:max(0, len(c.PromptParts)-1)]
+}
+
 // Attempt is one attempt to run a call at an endpoint.
 type Attempt struct {
 	*Call
--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	crashReportTimeout = time.Second
 	// maxTrackedCrashes bounds the number of crashes whose suspects are kept.
 	maxTrackedCrashes = 256
+	// maxLoggedParts bounds the prompt parts in one log line.
+	maxLoggedParts = 16
 )
 
 // crashID identifies one crash of an endpoint by the start time of the run that crashed.
@@ -53,8 +56,9 @@
 }
 
 // HandleBrokenExchange checks whether an endpoint has crashed after an exchange with it broke off.
-// If so, it removes the endpoint from the fleet and reports the content before it returns.
-func (c *CrashTracker) HandleBrokenExchange(e *fleet.Endpoint, f knapweedpulley.Fingerprint) {
+// If so, it removes the endpoint from the fleet and reports the content of the call before it
+// returns.
+func (c *CrashTracker) HandleBrokenExchange(e *fleet.Endpoint, call *knapweedpulley.Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 	defer cancel()
 	entry := e.Registration()
@@ -63,14 +67,25 @@
 	}
 	c.fleet.MarkUnreachable(e)
 	id := crashID{endpoint: e.ID(), start: entry.Start}
-	suspects := c.addSuspect(id, f)
-	c.log.WithField("endpoint", id.endpoint).WithField("start", id.start).WithField("content", f).
+	suspects := c.addSuspect(id, call.Fingerprint)
+	c.log.WithField("endpoint", id.endpoint).WithField("start", id.start).WithField("request", call.ID).
+		WithField("content", call.Fingerprint).WithField("parts", partNames(call)).
 		WithField("suspects", len(suspects)).Warn("endpoint crashed while running a request; reporting the contents that it ran")
 	c.suspectList.Report(ctx, knapweedpulley.SuspectReport{
 		Endpoint: id.endpoint, Start: id.start, Fingerprints: suspects, Isolated: len(suspects) == 1,
 	})
 }
 
+// partNames returns the ids of the first shared parts of a call's prompt, for the log.
+func partNames(call *knapweedpulley.Call) string {
+	parts := call.SharedParts()
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, " ")
+}
+
 // addSuspect records a content that ran at a crash. It returns all contents recorded for it so far.
 func (c *CrashTracker) addSuspect(id crashID, f knapweedpulley.Fingerprint) []knapweedpulley.Fingerprint {
 	c.mu.Lock()
--- a/gateway/crashtracker_test.go
+++ b/gateway/crashtracker_test.go
@@ -69,17 +69,17 @@
 	f := newFleet("a", "b")
 	t.Run("a content that ran at two crashes is refused by all gateways", func(t *testing.T) {
 		lists, _, c := newCrashTracker()
-		c.HandleBrokenExchange(f.Endpoints()["a"], 7)
+		c.HandleBrokenExchange(f.Endpoints()["a"], &knapweedpulley.Call{Fingerprint: 7})
 		assertState(t, lists, 7, knapweedpulley.SuspectIsolate)
-		c.HandleBrokenExchange(f.Endpoints()["b"], 7)
+		c.HandleBrokenExchange(f.Endpoints()["b"], &knapweedpulley.Call{Fingerprint: 7})
 		assertState(t, lists, 7, knapweedpulley.SuspectRefuse)
 		assertState(t, lists, 8, knapweedpulley.SuspectNone)
 	})
 	t.Run("each content that ran at a crash counts once, however often it is reported", func(t *testing.T) {
 		lists, _, c := newCrashTracker()
 		for range 3 {
-			c.HandleBrokenExchange(f.Endpoints()["a"], 7)
-			c.HandleBrokenExchange(f.Endpoints()["a"], 8)
+			c.HandleBrokenExchange(f.Endpoints()["a"], &knapweedpulley.Call{Fingerprint: 7})
+			c.HandleBrokenExchange(f.Endpoints()["a"], &knapweedpulley.Call{Fingerprint: 8})
 		}
 		assertState(t, lists, 7, knapweedpulley.SuspectIsolate)
 		assertState(t, lists, 8, knapweedpulley.SuspectIsolate)
@@ -87,7 +87,7 @@
 	t.Run("a broken exchange with an endpoint that still listens leaves the content unsuspected", func(t *testing.T) {
 		lists, exchanger, c := newCrashTracker()
 		exchanger.ended = false
-		c.HandleBrokenExchange(f.Endpoints()["a"], 7)
+		c.HandleBrokenExchange(f.Endpoints()["a"], &knapweedpulley.Call{Fingerprint: 7})
 		assertState(t, lists, 7, knapweedpulley.SuspectNone)
 	})
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -116,7 +116,7 @@
 		}
 		return fleet.Broken
 	}
-	h.CrashTracker.HandleBrokenExchange(e, h.call.Fingerprint)
+	h.CrashTracker.HandleBrokenExchange(e, h.call)
 	return fleet.Broken
 }
 
