Refuse a prompt part that crashes endpoints

Callers of a service lost their answers, as requests with one prompt part crashed one endpoint after the other. Each such request has a content of its own, and the gateways knew contents only: a content is refused after two crashes. Contents that ran beside the part twice were refused for good.

The gateways now also report the shared parts of the prompts that ran at a crash, and judge them together: the part that is a suspect of most crashes and was not answered since is refused, and its crashes are held against no other part or content. An answer, or a stream that has gone on for half a second, clears a content and its parts at all gateways. Crashes at the same moment count as one, as after a loss of power. Crashes are reported piece by piece, so that the refusals are derived anew from each report for three seconds. A gateway that starts or was cut off is told what the others know. A refused part is probed twice at most, by one gateway, so that a refusal in error ends without a restart.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -52,6 +52,10 @@
 	sweepPeriod = 2 * time.Second
 	// gatewayCountPeriod is the time between two updates of the number of gateways.
 	gatewayCountPeriod = 500 * time.Millisecond
+	// suspectSyncPeriod is the pause between two synchronizations of the suspects of crashes with
+	// the other gateways. suspectSyncTimeout bounds one.
+	suspectSyncPeriod  = 250 * time.Millisecond
+	suspectSyncTimeout = time.Second
 )
 
 // process is a running gateway.
@@ -115,7 +119,7 @@
 		Zone: p.settings.Zone, Address: p.settings.Links,
 	}
 	p.peers = gateway.NewPeers(self)
-	suspects := endpoint.NewSuspects(p.peers, link.NewSuspectSender(connections))
+	suspects := p.newSuspects(connections, clock)
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
 		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Clock: clock, Log: p.log,
@@ -179,6 +183,22 @@
 	p.placer.Configure(s.Services)
 }
 
+// newSuspects creates the list of suspects of crashes, and keeps the other gateways up to date.
+func (p *process) newSuspects(connections *link.Connections, clock knapweedpulley.Clock) *endpoint.Suspects {
+	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{
+		Group: p.peers, Peer: link.NewSuspectSender(connections), Clock: clock, Log: p.log,
+	})
+	p.cleanups.Add(machine.Every(suspectSyncPeriod, func() { syncSuspects(suspects) }))
+	return suspects
+}
+
+// syncSuspects tells the other gateways what they don't know of the suspects of crashes.
+func syncSuspects(suspects *endpoint.Suspects) {
+	ctx, cancel := context.WithTimeout(context.Background(), suspectSyncTimeout)
+	defer cancel()
+	suspects.Sync(ctx)
+}
+
 // updateGatewayCount takes the gateways from the reports of the keepers, and divides the rates and
 // budgets that all gateways share among that many.
 func (p *process) updateGatewayCount() {
--- a/endpoint/doc.go
+++ b/endpoint/doc.go
@@ -1,6 +1,6 @@
 // Package endpoint holds an entry process's view of the endpoints: the models,
 // adapters and routes that each offers, its load, whether its machine has ended,
-// and which request contents are suspected of crashing engines.
+// and which request contents and prompt parts are suspected of crashing engines.
 //
 // [Fleet] chooses the endpoint of a request from the status reports of the
 // agents. The reports lag, so the load in each is corrected by the requests that
@@ -13,7 +13,8 @@
 //
 // [Suspects] decides which request contents run isolated because an engine
 // crashed while they ran, and which are refused because they ran at a second
-// crash.
+// crash. It also finds the prompt parts that crash engines whatever else a request
+// holds: a part that ran at several crashes and was never answered since.
 //
 // # Usage
 //
--- /dev/null
+++ b/endpoint/refusedpart.go
@@ -0,0 +1,88 @@
+package endpoint
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/knapweedpulley/knapweedpulley"
+)
+
+const (
+	// firstProbeDelay is the time after which one request with a refused part is sent
+	// as a probe. The next one is sent no earlier than probeDelayFactor times that time
+	// later.
+	firstProbeDelay  = 6 * time.Second
+	probeDelayFactor = 10
+	maxProbes        = 2
+	// ambiguousProbeDelay replaces firstProbeDelay for parts that can't be told apart.
+	ambiguousProbeDelay = time.Second
+	// settleTime is the time in which other evidence can end the refusal of a part.
+	settleTime = 3 * time.Second
+)
+
+// refusedPart is a prompt part that is refused.
+type refusedPart struct {
+	since knapweedpulley.Instant
+	// adopted is set if another member refuses the part. It is never probed from here.
+	adopted bool
+	// ambiguous is set if the part was refused together with others.
+	ambiguous bool
+	// nextProbe is when the next probe may be sent, probes the number of probes so far.
+	nextProbe atomic.Int64
+	probes    atomic.Int32
+}
+
+func newRefusedPart(since knapweedpulley.Instant, ambiguous bool) *refusedPart {
+	r := &refusedPart{since: since, ambiguous: ambiguous}
+	r.nextProbe.Store(int64(since.Add(r.firstDelay())))
+	return r
+}
+
+func newAdoptedPart(since knapweedpulley.Instant) *refusedPart {
+	return &refusedPart{since: since, adopted: true}
+}
+
+func (r *refusedPart) firstDelay() time.Duration {
+	if r.ambiguous {
+		return ambiguousProbeDelay
+	}
+	return firstProbeDelay
+}
+
+// isSettled reports whether only an answer can end the refusal.
+func (r *refusedPart) isSettled(now knapweedpulley.Instant) bool {
+	return r.adopted || now.Sub(r.since) >= settleTime
+}
+
+// tryProbe reports whether a probe may be sent now, and counts it if so.
+func (r *refusedPart) tryProbe(now knapweedpulley.Instant) bool {
+	next := r.nextProbe.Load()
+	if r.adopted || r.probes.Load() >= maxProbes || now < knapweedpulley.Instant(next) {
+		return false
+	}
+	if !r.nextProbe.CompareAndSwap(next, int64(now.Add(probeDelayFactor*r.firstDelay()))) {
+		return false
+	}
+	r.probes.Add(1)
+	return true
+}
+
+// historySize is the number of prompt parts that a partHistory remembers at most.
+const historySize = 4096
+
+// partHistory remembers prompt parts that were answered lately. A part may displace
+// another one.
+type partHistory struct {
+	slots [historySize]atomic.Uint64
+}
+
+func (h *partHistory) add(p knapweedpulley.PartFingerprint) {
+	slot := &h.slots[p%historySize]
+	if slot.Load() != uint64(p) {
+		slot.Store(uint64(p))
+	}
+}
+
+func (h *partHistory) has(p knapweedpulley.PartFingerprint) bool {
+	return h.slots[p%historySize].Load() == uint64(p)
+}
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -1,11 +1,15 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
+	"github.com/apex/log"
+
 	"github.com/knapweedpulley/knapweedpulley"
 )
 
@@ -15,47 +19,72 @@
 	refusalThreshold = 2
 	// maxCrashes bounds the number of crashes that are kept. The oldest are
 	// dropped first.
-	maxCrashes = 4096
+	maxCrashes = 512
+	// maxWeighedCrashes is the number of last crashes from which prompt parts are judged.
+	maxWeighedCrashes = 64
+	// maxRefusedParts bounds the refused prompt parts. The oldest are dropped first.
+	maxRefusedParts = 256
 )
 
-// crashID identifies one crash of an engine by the endpoint and the engine start
-// that ended in the crash.
-type crashID struct {
-	endpoint knapweedpulley.EndpointID
-	start    uint64
+// SuspectOptions holds the dependencies of a list of suspects.
+type SuspectOptions struct {
+	Group knapweedpulley.Group
+	Peer  knapweedpulley.SuspectPeer
+	Clock knapweedpulley.Clock
+	Log   log.Interface
+}
+
+// suspectView is what requests read of the list of suspects. It isn't changed once it
+// is published.
+type suspectView struct {
+	// contents counts the crashes that are held against each content.
+	contents map[knapweedpulley.Fingerprint]int
+	// parts are the prompt parts that are suspects of a crash, or refused.
+	parts   knapweedpulley.Set[knapweedpulley.PartFingerprint]
+	refused map[knapweedpulley.PartFingerprint]*refusedPart
 }
 
-// Suspects implements knapweedpulley.SuspectList. Reports are merged by their
+// Suspects implements knapweedpulley.PromptSuspectList. Reports are merged by their
 // crash, so their order and repetitions don't matter.
+//
+// A prompt part that crashes engines is found by elimination: it is a suspect of many
+// crashes, and no request with it is ever answered. Once it is refused, its crashes are
+// held against no other part or content.
 type Suspects struct {
-	group  knapweedpulley.Group
-	peer   knapweedpulley.SuspectPeer
-	counts atomic.Pointer[map[knapweedpulley.Fingerprint]int]
-	// mu guards the fields below. State reads counts without it.
+	SuspectOptions
+	view    atomic.Pointer[suspectView]
+	history partHistory
+	// mu guards the fields below. Requests read view without it.
 	mu         sync.Mutex
-	crashes    map[crashID][]knapweedpulley.Fingerprint
+	crashes    map[crashID]*crash
 	crashOrder []crashID
+	refused    map[knapweedpulley.PartFingerprint]*refusedPart
 	// notified holds, for each crash, the number of suspects in the last report
 	// that was sent to the other members. A later report can name more suspects.
 	notified map[crashID]int
+	// answered is what the other members haven't been told of yet.
+	answered knapweedpulley.SuspectReport
+	// synced are the members that have got all that they need to know.
+	synced knapweedpulley.Set[knapweedpulley.MemberID]
 }
 
 // NewSuspects returns an empty list that sends reported crashes to the other
 // members of the group.
-func NewSuspects(group knapweedpulley.Group, peer knapweedpulley.SuspectPeer) *Suspects {
+func NewSuspects(o SuspectOptions) *Suspects {
 	s := &Suspects{
-		group:    group,
-		peer:     peer,
-		crashes:  make(map[crashID][]knapweedpulley.Fingerprint),
-		notified: make(map[crashID]int),
+		SuspectOptions: o,
+		crashes:        make(map[crashID]*crash),
+		refused:        make(map[knapweedpulley.PartFingerprint]*refusedPart),
+		notified:       make(map[crashID]int),
+		synced:         make(knapweedpulley.Set[knapweedpulley.MemberID]),
 	}
-	s.counts.Store(&map[knapweedpulley.Fingerprint]int{})
+	s.publish()
 	return s
 }
 
 // State implements knapweedpulley.SuspectList.
 func (s *Suspects) State(f knapweedpulley.Fingerprint) knapweedpulley.SuspectState {
-	switch n := (*s.counts.Load())[f]; {
+	switch n := s.view.Load().contents[f]; {
 	case n >= refusalThreshold:
 		return knapweedpulley.SuspectRefuse
 	case n > 0:
@@ -65,38 +94,229 @@
 	}
 }
 
+// IsRefused implements knapweedpulley.PromptSuspectList.
+func (s *Suspects) IsRefused(p knapweedpulley.PartFingerprint) bool {
+	return s.view.Load().refused[p] != nil
+}
+
+// TryProbe implements knapweedpulley.PromptSuspectList. Only the first member of the
+// group probes.
+func (s *Suspects) TryProbe(p knapweedpulley.PartFingerprint) bool {
+	r := s.view.Load().refused[p]
+	members := s.Group.Members()
+	return r != nil && len(members) > 0 && members[0].Entry == s.Group.Self().Entry && r.tryProbe(s.Clock.Now())
+}
+
+// RecordAnswer implements knapweedpulley.PromptSuspectList.
+func (s *Suspects) RecordAnswer(f knapweedpulley.Fingerprint, parts []knapweedpulley.PartFingerprint) {
+	v := s.view.Load()
+	answered := knapweedpulley.SuspectReport{}
+	if v.contents[f] > 0 {
+		answered.AnsweredContents = append(answered.AnsweredContents, f)
+	}
+	for _, p := range parts {
+		s.history.add(p)
+		if v.parts.Has(p) {
+			answered.AnsweredParts = append(answered.AnsweredParts, p)
+		}
+	}
+	if len(answered.AnsweredContents) == 0 && len(answered.AnsweredParts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clear(answered) {
+		s.answered.AnsweredContents = append(s.answered.AnsweredContents, answered.AnsweredContents...)
+		s.answered.AnsweredParts = append(s.answered.AnsweredParts, answered.AnsweredParts...)
+		s.update()
+	}
+}
+
 // Merge implements knapweedpulley.SuspectMerger.
 func (s *Suspects) Merge(r knapweedpulley.SuspectReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := crashID{endpoint: r.Endpoint, start: r.Start}
-	added := missingFrom(s.crashes[c], r.Fingerprints)
-	if len(added) == 0 {
-		return
+	cleared, refused, added := s.clear(r), s.adoptRefused(r.RefusedParts), s.addCrash(r)
+	if cleared || refused || added {
+		s.update()
+	}
+}
+
+// addCrash adds the suspects of a crash and reports whether one of them is new.
+func (s *Suspects) addCrash(r knapweedpulley.SuspectReport) bool {
+	if len(r.Fingerprints) == 0 && len(r.Parts) == 0 {
+		return false
 	}
-	if len(s.crashes[c]) == 0 {
-		s.crashOrder = append(s.crashOrder, c)
+	id := crashID{endpoint: r.Endpoint, start: r.Start}
+	c := s.crashes[id]
+	if c == nil {
+		c = newCrash(s.Clock.Now())
+		s.crashes[id] = c
+		s.crashOrder = append(s.crashOrder, id)
+		s.evictOldest()
 	}
-	s.crashes[c] = append(s.crashes[c], added...)
-	counts := maps.Clone(*s.counts.Load())
-	for _, f := range added {
-		counts[f]++
+	return c.add(r)
+}
+
+// clear removes contents and parts that were answered from the suspects, and reports
+// whether one of them was a suspect.
+func (s *Suspects) clear(r knapweedpulley.SuspectReport) bool {
+	cleared := false
+	for _, c := range s.crashes {
+		for _, f := range r.AnsweredContents {
+			if c.contents[f] {
+				c.contents[f], cleared = false, true
+			}
+		}
+		for _, p := range r.AnsweredParts {
+			if c.parts[p] {
+				c.parts[p], cleared = false, true
+			}
+		}
+	}
+	for _, p := range r.AnsweredParts {
+		if s.refused[p] != nil {
+			s.Log.WithField("part", p.String()).Info("prompt part was answered; no longer refusing it")
+			delete(s.refused, p)
+			cleared = true
+		}
 	}
-	s.evictOldest(counts)
-	s.counts.Store(&counts)
+	return cleared
 }
 
-// missingFrom returns the fingerprints in list that aren't in known, each once.
-func missingFrom(known, list []knapweedpulley.Fingerprint) []knapweedpulley.Fingerprint {
-	seen := knapweedpulley.NewSet(known...)
-	var added []knapweedpulley.Fingerprint
-	for _, f := range list {
-		if !seen.Has(f) {
-			seen.Add(f)
-			added = append(added, f)
+// adoptRefused adds parts that another member refuses and reports whether one of them
+// is new.
+func (s *Suspects) adoptRefused(parts []knapweedpulley.PartFingerprint) bool {
+	adopted := false
+	for _, p := range parts {
+		if s.refused[p] == nil {
+			s.refused[p] = newAdoptedPart(s.Clock.Now())
+			adopted = true
 		}
 	}
-	return added
+	return adopted
+}
+
+// update judges the prompt parts anew and publishes the result. A crash is reported by
+// several members one after the other, so that a later report can show that a part was
+// refused in error.
+func (s *Suspects) update() {
+	now := s.Clock.Now()
+	refused := make(map[knapweedpulley.PartFingerprint]*refusedPart, len(s.refused))
+	for p, r := range s.refused {
+		if r.isSettled(now) {
+			refused[p] = r
+		}
+	}
+	for {
+		parts, crashes := s.strongestSuspects(refused)
+		if len(parts) == 0 {
+			break
+		}
+		for _, p := range parts {
+			if refused[p] = s.refused[p]; refused[p] == nil {
+				refused[p] = newRefusedPart(now, len(parts) > 1)
+				s.Log.WithField("part", p.String()).WithField("crashes", crashes).
+					Warn("endpoints crashed on a prompt part and answered no request with it; refusing it")
+			}
+		}
+	}
+	for p := range s.refused {
+		if refused[p] == nil {
+			s.Log.WithField("part", p.String()).Info("another prompt part explains the crashes; no longer refusing this one")
+		}
+	}
+	s.refused = refused
+	s.evictOldestRefused()
+	s.publish()
+}
+
+// strongestSuspects returns the part that is a suspect of most crashes that the refused
+// parts don't explain, among those against which the evidence is sufficient, and the
+// number of these crashes. Parts that no engine has answered take precedence. Parts that
+// are suspects of equally many crashes are returned together, but none of them before
+// there are maxAmbiguousCrashes.
+func (s *Suspects) strongestSuspects(
+	refused map[knapweedpulley.PartFingerprint]*refusedPart,
+) ([]knapweedpulley.PartFingerprint, int) {
+	byPart := make(map[knapweedpulley.PartFingerprint]evidence)
+	for _, id := range s.crashOrder[max(0, len(s.crashOrder)-maxWeighedCrashes):] {
+		c := s.crashes[id]
+		if c.explainedBy(refused) {
+			continue
+		}
+		for _, p := range c.heldParts() {
+			e := byPart[p]
+			e.add(c.at)
+			byPart[p] = e
+		}
+	}
+	var strongest []knapweedpulley.PartFingerprint
+	var best evidence
+	for p, e := range byPart {
+		e.answeredBefore = s.history.has(p)
+		if !e.isSufficient() {
+			continue
+		}
+		switch order := e.compare(best); {
+		case len(strongest) == 0 || order > 0:
+			strongest, best = []knapweedpulley.PartFingerprint{p}, e
+		case order == 0:
+			strongest = append(strongest, p)
+		}
+	}
+	if len(strongest) > 1 && best.crashes < maxAmbiguousCrashes {
+		return nil, 0
+	}
+	return strongest, best.crashes
+}
+
+// evictOldestRefused drops the oldest refused parts beyond maxRefusedParts.
+func (s *Suspects) evictOldestRefused() {
+	if len(s.refused) <= maxRefusedParts {
+		return
+	}
+	bySince := slices.SortedFunc(maps.Keys(s.refused), func(p, q knapweedpulley.PartFingerprint) int {
+		return cmp.Compare(s.refused[p].since, s.refused[q].since)
+	})
+	for _, p := range bySince[:len(bySince)-maxRefusedParts] {
+		delete(s.refused, p)
+	}
+}
+
+// publish replaces the view of the requests.
+func (s *Suspects) publish() {
+	v := &suspectView{
+		contents: make(map[knapweedpulley.Fingerprint]int),
+		parts:    make(knapweedpulley.Set[knapweedpulley.PartFingerprint]),
+		refused:  make(map[knapweedpulley.PartFingerprint]*refusedPart, len(s.refused)),
+	}
+	for _, c := range s.crashes {
+		if c.explainedBy(s.refused) {
+			continue
+		}
+		for _, f := range c.heldContents() {
+			v.contents[f]++
+		}
+		for _, p := range c.heldParts() {
+			v.parts.Add(p)
+		}
+	}
+	for p, r := range s.refused {
+		v.parts.Add(p)
+		v.refused[p] = r
+	}
+	s.view.Store(v)
+}
+
+// evictOldest drops the oldest crashes beyond maxCrashes.
+func (s *Suspects) evictOldest() {
+	for len(s.crashOrder) > maxCrashes {
+		c := s.crashOrder[0]
+		s.crashOrder = slices.Delete(s.crashOrder, 0, 1)
+		delete(s.crashes, c)
+		delete(s.notified, c)
+	}
 }
 
 // Report implements knapweedpulley.SuspectList.
@@ -104,18 +324,12 @@
 // once, and again when more suspects of it are known.
 func (s *Suspects) Report(ctx context.Context, r knapweedpulley.SuspectReport) {
 	s.Merge(r)
-	if !s.startNotification(crashID{endpoint: r.Endpoint, start: r.Start}, len(r.Fingerprints)) {
+	if !s.startNotification(crashID{endpoint: r.Endpoint, start: r.Start}, len(r.Fingerprints)+len(r.Parts)) {
 		return
 	}
-	self := s.group.Self().Entry
 	var group sync.WaitGroup
-	for _, m := range s.group.Members() {
-		if m.Entry == self {
-			continue
-		}
-		// An entry that can't be reached gets the crash from the agent's own
-		// reports.
-		group.Go(func() { _ = s.peer.SendSuspects(ctx, m, r) })
+	for _, m := range s.otherMembers() {
+		group.Go(func() { s.send(ctx, m, r) })
 	}
 	group.Wait()
 }
@@ -131,20 +345,3 @@
 	s.notified[c] = suspects
 	return true
 }
-
-// evictOldest drops the oldest crashes beyond maxCrashes, and subtracts them from
-// counts.
-func (s *Suspects) evictOldest(counts map[knapweedpulley.Fingerprint]int) {
-	for len(s.crashOrder) > maxCrashes {
-		c := s.crashOrder[0]
-		s.crashOrder = s.crashOrder[1:]
-		for _, f := range s.crashes[c] {
-			counts[f]--
-			if counts[f] == 0 {
-				delete(counts, f)
-			}
-		}
-		delete(s.crashes, c)
-		delete(s.notified, c)
-	}
-}
--- a/endpoint/suspects_test.go
+++ b/endpoint/suspects_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/endpoint"
+	"github.com/knapweedpulley/knapweedpulley/logbook"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
 
 // pairMembership is the membership of two entry processes as seen from one of
@@ -40,6 +44,13 @@
 	return nil
 }
 
+func newSuspects(group knapweedpulley.Group, peer knapweedpulley.SuspectPeer) *endpoint.Suspects {
+	return endpoint.NewSuspects(endpoint.SuspectOptions{
+		Group: group, Peer: peer, Clock: fake.Clock{},
+		Log: logbook.New(io.Discard, log.InfoLevel, "test", "test"),
+	})
+}
+
 func assertState(t *testing.T, s *endpoint.Suspects, f knapweedpulley.Fingerprint, want knapweedpulley.SuspectState) {
 	t.Helper()
 	is.New(t).Equal(s.State(f), want)
@@ -47,8 +58,8 @@
 
 func TestSuspects(t *testing.T) {
 	p := peers{}
-	one := endpoint.NewSuspects(pairMembership{0}, p)
-	two := endpoint.NewSuspects(pairMembership{1}, p)
+	one := newSuspects(pairMembership{0}, p)
+	two := newSuspects(pairMembership{1}, p)
 	p["one"], p["two"] = one, two
 	first := knapweedpulley.SuspectReport{
 		Endpoint: "e", Start: 1, Fingerprints: []knapweedpulley.Fingerprint{1, 2, 1},
@@ -71,7 +82,7 @@
 		assertState(t, one, 2, knapweedpulley.SuspectIsolate)
 	})
 	t.Run("a report that names more suspects of the same crash adds the missing ones", func(t *testing.T) {
-		s := endpoint.NewSuspects(pairMembership{0}, p)
+		s := newSuspects(pairMembership{0}, p)
 		s.Merge(knapweedpulley.SuspectReport{Endpoint: "e", Start: 1, Fingerprints: []knapweedpulley.Fingerprint{1}})
 		s.Merge(first)
 		assertState(t, s, 1, knapweedpulley.SuspectIsolate)
@@ -81,8 +92,8 @@
 
 func TestReportOnce(t *testing.T) {
 	p := &countingPeers{peers: peers{}}
-	one := endpoint.NewSuspects(pairMembership{0}, p)
-	p.peers["two"] = endpoint.NewSuspects(pairMembership{1}, p)
+	one := newSuspects(pairMembership{0}, p)
+	p.peers["two"] = newSuspects(pairMembership{1}, p)
 	report := func(fingerprints ...knapweedpulley.Fingerprint) {
 		one.Report(t.Context(), knapweedpulley.SuspectReport{Endpoint: "e", Start: 1, Fingerprints: fingerprints})
 	}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -13,7 +13,9 @@
 // newDispatcher creates the dispatcher of requests and its dependencies: the list of
 // suspects, the links to the agents, the claims and the loader of models.
 func (e *Entry) newDispatcher() *dispatch.Dispatcher {
-	e.suspects = endpoint.NewSuspects(e.members, link.NewSuspectSender(e.connections))
+	e.suspects = endpoint.NewSuspects(endpoint.SuspectOptions{
+		Group: e.members, Peer: link.NewSuspectSender(e.connections), Clock: e.clock, Log: e.log,
+	})
 	links, cleanup := link.NewTable(link.EndpointSettings{
 		Self:        e.self,
 		Connections: e.connections,
--- a/exchange.go
+++ b/exchange.go
@@ -56,6 +56,18 @@
 	return c.PromptParts[:max(0, len(c.PromptParts)-1)]
 }
 
+// SharedFingerprints returns the fingerprints of the shared parts. Parts without an id are left out.
+func (c *Call) SharedFingerprints() []PartFingerprint {
+	parts := c.SharedParts()
+	fingerprints := make([]PartFingerprint, 0, len(parts))
+	for _, p := range parts {
+		if p.ID != "" {
+			fingerprints = append(fingerprints, NewPartFingerprint(p.ID))
+		}
+	}
+	return fingerprints
+}
+
 // Attempt is one attempt to run a call at an endpoint.
 type Attempt struct {
 	*Call
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -48,6 +48,8 @@
 	// canceled the attempt. moved is set from then on.
 	retryGranted bool
 	moved        bool
+	// probe is set if the call may run though a part of its prompt is refused.
+	probe bool
 	// answerStarted is set when writing of the answer to the caller begins. lastEventID is the
 	// id of the last event that the caller has received.
 	answerStarted bool
@@ -81,9 +83,8 @@
 	r := &h.admission.Route
 	h.deadline = h.call.Arrived.Add(min(h.call.Timeout, r.Timeout))
 	h.lastEventID = h.call.LastEvent
-	if h.CrashTracker.State(h.call.Fingerprint) == knapweedpulley.SuspectRefuse {
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun,
-			"endpoints crashed repeatedly while running requests with this content")
+	if err := h.checkSuspects(); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.remaining())
 	defer cancel()
@@ -113,6 +114,9 @@
 		if err := h.readmit(); err != nil {
 			return h.finalError(err)
 		}
+		if err := h.checkSuspects(); err != nil {
+			return h.finalError(err)
+		}
 		retryable, err := h.send(ctx, e)
 		if err == nil || !retryable {
 			return h.finalError(err)
@@ -124,6 +128,20 @@
 	}
 }
 
+// checkSuspects refuses the call if it is believed to crash endpoints, unless it is a probe that has
+// not run yet.
+func (h *callHandler) checkSuspects() error {
+	err := h.CrashTracker.Check(h.call)
+	if err == nil || h.possibleRuns > 0 {
+		return err
+	}
+	h.probe = h.probe || h.CrashTracker.TryProbe(h.call)
+	if h.probe {
+		return nil
+	}
+	return err
+}
+
 // finalError returns the error of the whole call, derived from that of the last attempt. Its
 // verdict takes all attempts into account.
 func (h *callHandler) finalError(err error) error {
@@ -204,7 +222,7 @@
 func (h *callHandler) mayRunAgain() bool {
 	r := &h.admission.Route
 	return r.Retry != knapweedpulley.AtMostOnce && h.possibleRuns < r.MaxAttempts &&
-		h.CrashTracker.State(h.call.Fingerprint) != knapweedpulley.SuspectRefuse
+		h.CrashTracker.Check(h.call) == nil
 }
 
 // readmit checks the call against the current configuration after it has waited: its key may
--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,10 @@
 	crashReportTimeout = time.Second
 	// maxTrackedCrashes bounds the number of crashes whose suspects are kept.
 	maxTrackedCrashes = 256
+	// maxCallParts bounds the prompt parts of one call that become suspects, maxReported the
+	// contents and the prompt parts of one crash.
+	maxCallParts = 64
+	maxReported  = 512
 	// maxLoggedParts bounds the prompt parts in one log line.
 	maxLoggedParts = 16
 )
@@ -29,30 +34,70 @@
 }
 
 // CrashTracker determines which requests were running when an endpoint crashed and reports the
-// fingerprints of their contents. All gateways refuse a content that ran at two crashes.
+// fingerprints of their contents and of the shared parts of their prompts. All gateways refuse a
+// content or a part that crashes endpoints.
 type CrashTracker struct {
-	suspectList knapweedpulley.SuspectList
+	suspectList knapweedpulley.PromptSuspectList
 	exchanger   knapweedpulley.Exchanger
 	fleet       *fleet.Fleet
 	log         log.Interface
 
-	mu       sync.Mutex
-	suspects map[crashID][]knapweedpulley.Fingerprint
+	mu      sync.Mutex
+	crashes map[crashID]knapweedpulley.SuspectReport
 }
 
 // NewCrashTracker returns a tracker that reports to a suspect list.
 func NewCrashTracker(
-	suspectList knapweedpulley.SuspectList, exchanger knapweedpulley.Exchanger, fleet *fleet.Fleet, log log.Interface,
+	suspectList knapweedpulley.PromptSuspectList, exchanger knapweedpulley.Exchanger, fleet *fleet.Fleet, log log.Interface,
 ) *CrashTracker {
 	return &CrashTracker{
 		suspectList: suspectList, exchanger: exchanger, fleet: fleet, log: log,
-		suspects: make(map[crashID][]knapweedpulley.Fingerprint),
+		crashes: make(map[crashID]knapweedpulley.SuspectReport),
 	}
 }
 
-// State returns whether a content is suspected of crashing endpoints.
-func (c *CrashTracker) State(f knapweedpulley.Fingerprint) knapweedpulley.SuspectState {
-	return c.suspectList.State(f)
+// Check refuses a call if its content, or a shared part of its prompt, crashes endpoints.
+func (c *CrashTracker) Check(call *knapweedpulley.Call) error {
+	if c.suspectList.State(call.Fingerprint) == knapweedpulley.SuspectRefuse {
+		return knapweedpulley.NewRefusal(knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun,
+			"endpoints crashed repeatedly while running requests with this content")
+	}
+	for _, p := range call.SharedParts() {
+		if f := knapweedpulley.NewPartFingerprint(p.ID); c.suspectList.IsRefused(f) {
+			return knapweedpulley.NewRefusal(knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun,
+				"endpoints crashed repeatedly while running requests with prompt part %s (%s)", p.ID, f)
+		}
+	}
+	return nil
+}
+
+// TryProbe reports whether a refused call may be sent to find out whether a part of its prompt
+// still crashes endpoints. No other part or content of the call may be refused.
+func (c *CrashTracker) TryProbe(call *knapweedpulley.Call) bool {
+	if c.suspectList.State(call.Fingerprint) == knapweedpulley.SuspectRefuse {
+		return false
+	}
+	refused := make(knapweedpulley.Set[knapweedpulley.PartFingerprint])
+	for _, p := range call.SharedFingerprints() {
+		if c.suspectList.IsRefused(p) {
+			refused.Add(p)
+		}
+	}
+	if len(refused) != 1 {
+		return false
+	}
+	for p := range refused {
+		if !c.suspectList.TryProbe(p) {
+			return false
+		}
+		c.log.WithField("request", call.ID).WithField("part", p.String()).Info("sending a request with a refused prompt part as a probe")
+	}
+	return true
+}
+
+// RecordAnswer records that an endpoint has answered a call to its end.
+func (c *CrashTracker) RecordAnswer(call *knapweedpulley.Call) {
+	c.suspectList.RecordAnswer(call.Fingerprint, call.SharedFingerprints())
 }
 
 // HandleBrokenExchange checks whether an endpoint has crashed after an exchange with it broke off.
@@ -67,13 +112,11 @@
 	}
 	c.fleet.MarkUnreachable(e)
 	id := crashID{endpoint: e.ID(), start: entry.Start}
-	suspects := c.addSuspect(id, call.Fingerprint)
+	report := c.addSuspect(id, call)
 	c.log.WithField("endpoint", id.endpoint).WithField("start", id.start).WithField("request", call.ID).
 		WithField("content", call.Fingerprint).WithField("parts", partNames(call)).
-		WithField("suspects", len(suspects)).Warn("endpoint crashed while running a request; reporting the contents that it ran")
-	c.suspectList.Report(ctx, knapweedpulley.SuspectReport{
-		Endpoint: id.endpoint, Start: id.start, Fingerprints: suspects, Isolated: len(suspects) == 1,
-	})
+		WithField("suspects", len(report.Fingerprints)).Warn("endpoint crashed while running a request; reporting the contents that it ran")
+	c.suspectList.Report(ctx, report)
 }
 
 // partNames returns the ids of the first shared parts of a call's prompt, for the log.
@@ -86,13 +129,32 @@
 	return strings.Join(ids, " ")
 }
 
-// addSuspect records a content that ran at a crash. It returns all contents recorded for it so far.
-func (c *CrashTracker) addSuspect(id crashID, f knapweedpulley.Fingerprint) []knapweedpulley.Fingerprint {
+// addSuspect records a call that ran at a crash. It returns the report of all calls recorded for
+// the crash so far.
+func (c *CrashTracker) addSuspect(id crashID, call *knapweedpulley.Call) knapweedpulley.SuspectReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.suspects) >= maxTrackedCrashes {
-		clear(c.suspects)
+	if len(c.crashes) >= maxTrackedCrashes {
+		clear(c.crashes)
+	}
+	r := c.crashes[id]
+	r.Endpoint, r.Start = id.endpoint, id.start
+	r.Fingerprints = appendNew(r.Fingerprints, call.Fingerprint)
+	parts := call.SharedFingerprints()
+	r.Parts = appendNew(r.Parts, parts[:min(len(parts), maxCallParts)]...)
+	r.Isolated = len(r.Fingerprints) == 1
+	c.crashes[id] = r
+	return r
+}
+
+// appendNew returns a new list of the values of list and those of added that aren't in it, each
+// once and at most maxReported altogether.
+func appendNew[T comparable](list []T, added ...T) []T {
+	list = slices.Clone(list)
+	for _, v := range added {
+		if len(list) < maxReported && !slices.Contains(list, v) {
+			list = append(list, v)
+		}
 	}
-	c.suspects[id] = append(c.suspects[id], f)
-	return append([]knapweedpulley.Fingerprint(nil), c.suspects[id]...)
+	return list
 }
--- a/gateway/crashtracker_test.go
+++ b/gateway/crashtracker_test.go
@@ -42,7 +42,9 @@
 	for _, self := range []knapweedpulley.Member{one, two} {
 		peers := gateway.NewPeers(self)
 		peers.SetMembers([]knapweedpulley.Member{one, two})
-		lists[self.Entry] = endpoint.NewSuspects(peers, lists)
+		lists[self.Entry] = endpoint.NewSuspects(endpoint.SuspectOptions{
+			Group: peers, Peer: lists, Clock: fake.Clock{}, Log: logbook.New(io.Discard, log.InfoLevel, "test", "test"),
+		})
 	}
 	exchanger := &fakeExchanger{ended: true}
 	return lists, exchanger, gateway.NewCrashTracker(lists["one"], exchanger, fleet.New(fake.Clock{}, "a"), logbook.New(io.Discard, log.InfoLevel, "test", "test"))
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,6 +24,9 @@
 	firstAnswerFactor = 2
 	// minFirstAnswerTimeout is the shortest such wait.
 	minFirstAnswerTimeout = 250 * time.Millisecond
+	// soundAnswerTime is the time from the first event of a stream after which the call counts as
+	// one that doesn't crash endpoints. A call that does crashes them when the answer begins.
+	soundAnswerTime = 500 * time.Millisecond
 	// wholeAnswerSize is the size in bytes up to which an answer is read whole before it is passed
 	// on. copyBufferSize is the size of the parts in which the rest is passed on.
 	wholeAnswerSize = int64(256 * knapweedpulley.KiB)
@@ -86,6 +89,9 @@
 		retryable, err = h.copy(reply)
 	}
 	outcome = h.outcome(ctx, e, err)
+	if outcome == fleet.Answered && h.status < http.StatusMultipleChoices {
+		h.CrashTracker.RecordAnswer(h.call)
+	}
 	return retryable, err
 }
 
@@ -206,6 +212,8 @@
 	ctx context.Context, guard *watchdog, reply knapweedpulley.Reply, visit *fleet.ActiveRequest,
 ) (bool, error) {
 	resumable := h.admission.Route.Retry == knapweedpulley.Resumable
+	var began knapweedpulley.Instant
+	recorded := false
 	for {
 		event, err := reply.Event()
 		if errors.Is(err, io.EOF) {
@@ -220,6 +228,13 @@
 		if err := h.writeEvent(reply, event); err != nil {
 			return false, err
 		}
+		if began == 0 {
+			began = h.lastEventAt
+		}
+		if !recorded && h.lastEventAt.Sub(began) >= soundAnswerTime {
+			recorded = true
+			h.CrashTracker.RecordAnswer(h.call)
+		}
 	}
 }
 
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -115,6 +115,5 @@
 	if _, err := w.gateway.checkAdmission(w.call, w.service, w.version); err != nil {
 		return false
 	}
-	return w.gateway.CrashTracker.State(w.call.Fingerprint) != knapweedpulley.SuspectRefuse &&
-		w.gateway.RetryBudget.TryWithdraw(w.service)
+	return w.gateway.CrashTracker.Check(w.call) == nil && w.gateway.RetryBudget.TryWithdraw(w.service)
 }
--- a/ids.go
+++ b/ids.go
@@ -1,6 +1,10 @@
 package knapweedpulley
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 type (
 	// CustomerID names a customer, as its template does.
@@ -52,3 +56,16 @@
 // Fingerprint identifies the content of a request, so that every entry process
 // recognizes a repeat of it.
 type Fingerprint uint64
+
+// PartFingerprint identifies a part of a prompt by its id.
+type PartFingerprint uint64
+
+// NewPartFingerprint returns the fingerprint of the prompt part with an id.
+func NewPartFingerprint(id string) PartFingerprint {
+	return PartFingerprint(xxhash.Sum64String(id))
+}
+
+// String returns the hexadecimal form of the fingerprint.
+func (p PartFingerprint) String() string {
+	return strconv.FormatUint(uint64(p), 16)
+}
--- a/link/suspects.go
+++ b/link/suspects.go
@@ -28,9 +28,13 @@
 	if err != nil {
 		return err
 	}
-	message := &linkpb.SuspectsRequest{Endpoint: string(r.Endpoint), Start: r.Start, Isolated: r.Isolated}
-	for _, f := range r.Fingerprints {
-		message.Fingerprints = append(message.Fingerprints, uint64(f))
+	message := &linkpb.SuspectsRequest{
+		Endpoint: string(r.Endpoint), Start: r.Start, Isolated: r.Isolated,
+		Fingerprints:     encodeFingerprints(r.Fingerprints),
+		Parts:            encodeFingerprints(r.Parts),
+		AnsweredContents: encodeFingerprints(r.AnsweredContents),
+		AnsweredParts:    encodeFingerprints(r.AnsweredParts),
+		RefusedParts:     encodeFingerprints(r.RefusedParts),
 	}
 	_, err = linkpb.NewSuspectServiceClient(conn).SendSuspects(ctx, message)
 	return errors.Wrapf(err, "send suspects to %s", to.Entry)
@@ -52,14 +56,31 @@
 func (s *suspectServer) SendSuspects(
 	_ context.Context, m *linkpb.SuspectsRequest,
 ) (*linkpb.SuspectsResponse, error) {
-	r := knapweedpulley.SuspectReport{
-		Endpoint: knapweedpulley.EndpointID(m.GetEndpoint()),
-		Start:    m.GetStart(),
-		Isolated: m.GetIsolated(),
+	s.merger.Merge(knapweedpulley.SuspectReport{
+		Endpoint:         knapweedpulley.EndpointID(m.GetEndpoint()),
+		Start:            m.GetStart(),
+		Isolated:         m.GetIsolated(),
+		Fingerprints:     decodeFingerprints[knapweedpulley.Fingerprint](m.GetFingerprints()),
+		Parts:            decodeFingerprints[knapweedpulley.PartFingerprint](m.GetParts()),
+		AnsweredContents: decodeFingerprints[knapweedpulley.Fingerprint](m.GetAnsweredContents()),
+		AnsweredParts:    decodeFingerprints[knapweedpulley.PartFingerprint](m.GetAnsweredParts()),
+		RefusedParts:     decodeFingerprints[knapweedpulley.PartFingerprint](m.GetRefusedParts()),
+	})
+	return &linkpb.SuspectsResponse{}, nil
+}
+
+func encodeFingerprints[T ~uint64](list []T) []uint64 {
+	encoded := make([]uint64, 0, len(list))
+	for _, f := range list {
+		encoded = append(encoded, uint64(f))
 	}
-	for _, f := range m.GetFingerprints() {
-		r.Fingerprints = append(r.Fingerprints, knapweedpulley.Fingerprint(f))
+	return encoded
+}
+
+func decodeFingerprints[T ~uint64](encoded []uint64) []T {
+	list := make([]T, 0, len(encoded))
+	for _, f := range encoded {
+		list = append(list, T(f))
 	}
-	s.merger.Merge(r)
-	return &linkpb.SuspectsResponse{}, nil
+	return list
 }
--- a/suspect.go
+++ b/suspect.go
@@ -16,16 +16,23 @@
 	SuspectRefuse
 )
 
-// SuspectReport lists the request contents that were running when an engine
-// crashed.
+// SuspectReport lists the request contents and shared prompt parts that were running
+// when an engine crashed, or tells what became of suspects since.
 type SuspectReport struct {
 	Endpoint EndpointID
 	// Start is the engine start that ended in the crash; with Endpoint it
 	// identifies the crash, so that a repeated report counts once.
 	Start        uint64
 	Fingerprints []Fingerprint
+	// Parts are the shared prompt parts of the requests.
+	Parts []PartFingerprint
 	// Isolated is set if the only suspect ran alone.
 	Isolated bool
+	// AnsweredContents and AnsweredParts are former suspects that an engine has answered.
+	AnsweredContents []Fingerprint
+	AnsweredParts    []PartFingerprint
+	// RefusedParts are prompt parts that are refused.
+	RefusedParts []PartFingerprint
 }
 
 // SuspectList records which request contents may have crashed engines.
@@ -36,3 +43,17 @@
 	// once they have recorded it or ctx ends.
 	Report(ctx context.Context, r SuspectReport)
 }
+
+// PromptSuspectList records which request contents and which prompt parts may have
+// crashed engines.
+type PromptSuspectList interface {
+	SuspectList
+	// IsRefused reports whether requests with a prompt part are refused.
+	IsRefused(p PartFingerprint) bool
+	// TryProbe reports whether a request with a refused part may be sent now to find
+	// out whether it still crashes engines.
+	TryProbe(p PartFingerprint) bool
+	// RecordAnswer records that an engine has answered a request to its end, which
+	// clears its content and parts.
+	RecordAnswer(f Fingerprint, parts []PartFingerprint)
+}
