--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -126,12 +126,6 @@
 	return e.Registration().Slots
 }
 
-// HasFreeSlot reports whether the endpoint can run one more request at once, as far as is known.
-func (e *Endpoint) HasFreeSlot() bool {
-	slots := e.Slots()
-	return slots == 0 || e.Load() < slots
-}
-
 // Avoided reports whether connections to the endpoint broke recently.
 func (e *Endpoint) Avoided() bool {
 	return knapweedpulley.Instant(e.avoidUntil.Load()).After(e.clock.Now())
@@ -190,6 +184,16 @@
 	return r
 }
 
+// TryBeginRequest does the same as BeginRequest if the endpoint has a free slot for the request.
+func (e *Endpoint) TryBeginRequest(prompt knapweedpulley.Tokens) (*ActiveRequest, bool) {
+	r := e.BeginRequest(prompt)
+	if slots := e.Slots(); slots > 0 && e.Load() > slots {
+		r.End(Inconclusive)
+		return nil, false
+	}
+	return r, true
+}
+
 // PromptProcessed records that the endpoint has processed the prompt.
 func (r *ActiveRequest) PromptProcessed() {
 	if r.prefilling.CompareAndSwap(true, false) {
@@ -222,10 +226,19 @@
 	e.failureRate.Store(math.Float64bits(last + failureWeight*(failure-last)))
 }
 
+// Avoid has the endpoint avoided for d from now.
+func (e *Endpoint) Avoid(d time.Duration) {
+	until := int64(e.clock.Now().Add(d))
+	for last := e.avoidUntil.Load(); last < until; last = e.avoidUntil.Load() {
+		if e.avoidUntil.CompareAndSwap(last, until) {
+			return
+		}
+	}
+}
+
 // backOff has the endpoint avoided for a time that doubles with each broken
 // connection in a row.
 func (e *Endpoint) backOff() {
 	n := e.brokenInRow.Add(1)
-	d := min(maxAvoidTime, minAvoidTime<<min(n-1, 8))
-	e.avoidUntil.Store(int64(e.clock.Now().Add(d)))
+	e.Avoid(min(maxAvoidTime, minAvoidTime<<min(n-1, 8)))
 }
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// maxRefusedSends bounds the attempts of one call that endpoints refuse.
-	maxRefusedSends = 3
+	// maxRefusedSends bounds the attempts of one call that endpoints refuse, maxMovedRefusals those
+	// of a call that the gateway has moved away from an endpoint.
+	maxRefusedSends  = 3
+	maxMovedRefusals = 6
 	// endpointWait is how long a call waits for a service without engines to get an endpoint.
 	// It is short because an early refusal costs the caller least.
 	endpointWait = 100 * time.Millisecond
@@ -44,10 +46,10 @@
 	refusals     int
 	// sends counts all attempts.
 	sends int
-	// retryGranted is set if the budget has already granted the next retry, because the watchdog
-	// canceled the attempt. moved is set from then on.
-	retryGranted bool
-	moved        bool
+	// next is the request that the watchdog has begun at another endpoint when it canceled the
+	// attempt. moved is set from then on.
+	next  *fleet.ActiveRequest
+	moved bool
 	// probe is set if the call may run though a part of its prompt is refused.
 	probe bool
 	// answerStarted is set when writing of the answer to the caller begins. lastEventID is the
@@ -106,25 +108,61 @@
 
 // sendUntilDone sends the call until it is answered or must not be retried.
 func (h *callHandler) sendUntilDone(ctx context.Context) error {
+	defer func() {
+		if h.next != nil {
+			h.next.End(fleet.Inconclusive)
+		}
+	}()
 	for {
-		e, err := h.findEndpoint(ctx)
+		visit, err := h.begin(ctx)
 		if err != nil {
 			return h.finalError(err)
 		}
-		if err := h.readmit(); err != nil {
-			return h.finalError(err)
-		}
-		if err := h.checkSuspects(); err != nil {
-			return h.finalError(err)
-		}
-		retryable, err := h.send(ctx, e)
+		retryable, err := h.send(ctx, visit)
 		if err == nil || !retryable {
+			h.notRetried = endReason(ctx, err)
 			return h.finalError(err)
 		}
 		if !h.mayRetry(ctx, err) {
 			return h.finalError(err)
 		}
-		h.avoid.Add(e.ID())
+		h.avoid.Add(visit.ID())
+	}
+}
+
+// begin begins the call at the endpoint for the next attempt.
+func (h *callHandler) begin(ctx context.Context) (*fleet.ActiveRequest, error) {
+	visit := h.next
+	h.next = nil
+	if visit == nil {
+		e, err := h.findEndpoint(ctx)
+		if err != nil {
+			return nil, err
+		}
+		visit = e.BeginRequest(h.call.Prompt)
+	}
+	err := h.readmit()
+	if err == nil {
+		err = h.checkSuspects()
+	}
+	if err != nil {
+		visit.End(fleet.Inconclusive)
+		return nil, err
+	}
+	return visit, nil
+}
+
+// endReason returns why a call can't be sent again after an attempt that doesn't allow it.
+func endReason(ctx context.Context, err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "deadline"
+	case ctx.Err() != nil || errors.Is(err, errCallerWrite):
+		return "callerLeft"
+	default:
+		return "route"
 	}
 }
 
@@ -176,13 +214,17 @@
 	if h.remaining() < minSendTime {
 		return "deadline"
 	}
-	if h.retryGranted {
-		h.retryGranted, h.moved = false, true
+	if h.next != nil {
+		h.moved = true
+		if !h.mayRunAgain() {
+			// The endpoint may have turned out to have crashed.
+			return "runs"
+		}
 		return ""
 	}
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
 		h.refusals++
-		if h.refusals >= maxRefusedSends && !h.moved {
+		if h.refusals >= h.maxRefusals() {
 			return "refusals"
 		}
 	} else if !h.mayRunAgain() {
@@ -194,13 +236,26 @@
 	return "retryBudget"
 }
 
+func (h *callHandler) maxRefusals() int {
+	if h.moved {
+		return maxMovedRefusals
+	}
+	return maxRefusedSends
+}
+
+// callerPatienceEnd returns until when the caller waits for the next event or for the answer.
+func (h *callHandler) callerPatienceEnd() knapweedpulley.Instant {
+	until := h.deadline.Add(-minSendTime)
+	if patience := h.admission.Route.EventTimeout; patience > 0 {
+		until = min(until, max(h.call.Arrived, h.lastEventAt).Add(patience))
+	}
+	return until
+}
+
 // awaitRetry waits until the budget grants a retry, for as long as the caller waits for the next
 // event or for the answer. It reports whether it was granted.
 func (h *callHandler) awaitRetry(ctx context.Context) bool {
-	until := h.deadline.Add(-minSendTime)
-	if callerPatience := h.admission.Route.EventTimeout; callerPatience > 0 {
-		until = min(until, max(h.call.Arrived, h.lastEventAt).Add(callerPatience))
-	}
+	until := h.callerPatienceEnd()
 	timer := time.NewTimer(refusalBackoff)
 	defer timer.Stop()
 	for h.Clock.Now() < until {
@@ -291,9 +346,14 @@
 	}
 }
 
-// backOff waits for refusalBackoff or a change of the fleet, whichever comes first.
+// backOff waits for refusalBackoff or a change of the fleet, whichever comes first. For a moved call,
+// which may be refused more often, the time doubles with each refusal.
 func (h *callHandler) backOff(ctx context.Context, changed <-chan struct{}) {
-	timer := time.NewTimer(refusalBackoff)
+	wait := refusalBackoff
+	if h.moved {
+		wait <<= max(0, h.refusals-1)
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-changed:
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -27,6 +27,9 @@
 	// soundAnswerTime is the time from the first event of a stream after which the call counts as
 	// one that doesn't crash endpoints. A call that does crashes them when the answer begins.
 	soundAnswerTime = 500 * time.Millisecond
+	// moveCheckTime is how long a call that moves waits for the result of the check whether its
+	// endpoint has crashed.
+	moveCheckTime = 50 * time.Millisecond
 	// wholeAnswerSize is the size in bytes up to which an answer is read whole before it is passed
 	// on. copyBufferSize is the size of the parts in which the rest is passed on.
 	wholeAnswerSize = int64(256 * knapweedpulley.KiB)
@@ -35,14 +38,14 @@
 
 // send makes one attempt at the call. retryable reports whether another endpoint could still
 // serve the call after the error.
-func (h *callHandler) send(ctx context.Context, e *fleet.Endpoint) (retryable bool, err error) {
+func (h *callHandler) send(ctx context.Context, visit *fleet.ActiveRequest) (retryable bool, err error) {
+	e := visit.Endpoint
 	h.sends++
 	h.endpoint = e.ID()
-	h.loadAtChoice = e.Load()
+	h.loadAtChoice = max(0, e.Load()-1)
 	if h.call.Weights().Model != "" {
 		h.Placer.ScaleOut(h.loadRequest(), h.loadAtChoice)
 	}
-	visit := e.BeginRequest(h.call.Prompt)
 	outcome := fleet.Inconclusive
 	defer func() { visit.End(outcome) }()
 	if h.call.Weights().Model != "" {
@@ -51,14 +54,10 @@
 	exchangeCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	guard := h.startWatchdog(e, cancel)
-	defer func() {
-		if guard.stop() {
-			h.stalls++
-			h.retryGranted = true
-		}
-	}()
+	defer h.endWatch(guard)
 	reply, err := h.Exchanger.Exchange(exchangeCtx, h.newAttempt(e))
 	if err != nil {
+		h.endWatch(guard)
 		if knapweedpulley.VerdictOf(err) == knapweedpulley.MayHaveRun {
 			h.possibleRuns++
 		}
@@ -83,24 +82,39 @@
 		return true, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"endpoint %s sent an answer without its stamp", e.ID())
 	}
-	if h.admission.Route.Stream && reply.Head().Status == http.StatusOK {
+	switch status := reply.Head().Status; {
+	case h.admission.Route.Stream && status == http.StatusOK:
 		retryable, err = h.relayStream(ctx, guard, reply, visit)
-	} else {
-		retryable, err = h.copy(reply)
+	case h.answerStarted:
+		retryable, err = true, errors.Mark(knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
+			"endpoint %s answered with status %d instead of resuming the stream", e.ID(), status), errEndpointFailed)
+	default:
+		retryable, err = h.copy(guard, reply)
 	}
+	h.endWatch(guard)
 	outcome = h.outcome(ctx, e, err)
-	if outcome == fleet.Answered && h.status < http.StatusMultipleChoices {
-		h.CrashTracker.RecordAnswer(h.call)
-	}
 	return retryable, err
 }
 
-// outcome returns the endpoint's outcome after its answer ended.
+// endWatch stops the watchdog of an exchange, and records the retry that it was granted if it has
+// canceled the exchange.
+func (h *callHandler) endWatch(guard *watchdog) {
+	if next := guard.stop(); next != nil {
+		h.stalls++
+		h.next = next
+	}
+}
+
+// outcome returns the endpoint's outcome after its answer ended. A successful answer shows that the
+// call doesn't crash endpoints.
 func (h *callHandler) outcome(ctx context.Context, e *fleet.Endpoint, err error) fleet.Outcome {
 	switch {
 	case err == nil && h.status >= http.StatusInternalServerError:
 		return fleet.Failed
 	case err == nil:
+		if h.status < http.StatusMultipleChoices {
+			h.CrashTracker.RecordAnswer(h.call)
+		}
 		return fleet.Answered
 	case errors.Is(err, errEndpointFailed):
 		return fleet.Failed
@@ -122,10 +136,30 @@
 		}
 		return fleet.Broken
 	}
-	h.CrashTracker.HandleBrokenExchange(e, h.call)
+	h.checkCrash(e)
 	return fleet.Broken
 }
 
+// checkCrash checks whether the endpoint has crashed. A call that moves waits only for a quick
+// result, as its endpoint may be dark.
+func (h *callHandler) checkCrash(e *fleet.Endpoint) {
+	if h.next == nil {
+		h.CrashTracker.HandleBrokenExchange(e, h.call)
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.CrashTracker.HandleBrokenExchange(e, h.call)
+	}()
+	timer := time.NewTimer(moveCheckTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
 // stallTimeout returns the time without an event after which a stream counts as dead.
 func (h *callHandler) stallTimeout() time.Duration {
 	return max(minStallTimeout, stallFactor*h.admission.Route.EventGapTarget)
@@ -153,9 +187,13 @@
 
 // copy passes an answer on to the caller. An answer of up to wholeAnswerSize is read whole first,
 // so that the call can still be sent to another endpoint if the answer breaks off.
-func (h *callHandler) copy(reply knapweedpulley.Reply) (bool, error) {
+func (h *callHandler) copy(guard *watchdog, reply knapweedpulley.Reply) (bool, error) {
 	head := reply.Head()
-	start, err := io.ReadAll(io.LimitReader(reply, wholeAnswerSize))
+	start, err := io.ReadAll(io.LimitReader(watchedReader{reply, guard}, wholeAnswerSize))
+	h.endWatch(guard)
+	if err == nil && h.next != nil && int64(len(start)) == wholeAnswerSize {
+		err = errStalled
+	}
 	if err != nil {
 		return true, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"answer of endpoint %s broke off: %v", h.endpoint, err)
@@ -224,7 +262,7 @@
 				knapweedpulley.MayHaveRun, "stream of endpoint %s broke off after %d events: %v", h.endpoint, h.events, err)
 		}
 		visit.PromptProcessed()
-		guard.postpone(h.stallTimeout())
+		guard.suspend()
 		if err := h.writeEvent(reply, event); err != nil {
 			return false, err
 		}
@@ -235,6 +273,7 @@
 			recorded = true
 			h.CrashTracker.RecordAnswer(h.call)
 		}
+		guard.postpone(h.stallTimeout())
 	}
 }
 
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -1,8 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -74,6 +79,14 @@
 		answer, err := d.serve(t)
 		assertAnswered(t, answer, err, "1 2 3 ")
 	})
+	inBubble("a stream whose first event comes at the moment of the timeout goes on", t, func(t *testing.T) {
+		punctual := silent
+		punctual.silence = 1200 * time.Millisecond
+		d, _ := streamDeployment(punctual, full)
+		d.retrySlack = 0
+		answer, err := d.serve(t)
+		assertAnswered(t, answer, err, "1 2 3 ")
+	})
 	inBubble("a silent whole answer is awaited if no retry is left", t, func(t *testing.T) {
 		d, x := wholeDeployment(scriptedAnswer{silence: silentPause, body: "balance"}, full)
 		d.retrySlack = 0
@@ -89,3 +102,172 @@
 		is.New(t).Equal(len(x.attempts()), 1)
 	})
 }
+
+func TestDeadStreamIsResumedInTime(t *testing.T) {
+	for _, target := range []time.Duration{600 * time.Millisecond, 4 * time.Second} {
+		inBubble("after an early event, with a latency target of "+target.String(), t, func(t *testing.T) {
+			d, _ := streamDeployment(
+				scriptedAnswer{silence: time.Minute, silentAfter: 1, events: []string{"1", "2"}},
+				scriptedAnswer{events: []string{"2", "3"}})
+			d.route.LatencyTarget, d.route.Timeout, d.route.EventTimeout = target, time.Minute, 4*target
+			g := d.newGateway(t)
+			began := time.Now()
+			answer, err := serveCall(t, g)
+			assertAnswered(t, answer, err, "1 2 3 ")
+			is.New(t).True(time.Since(began) < 1500*time.Millisecond)
+		})
+	}
+}
+
+func TestMovedCallStaysWithinCrashLimit(t *testing.T) {
+	inBubble("a content that crashed two endpoints isn't sent on", t, func(t *testing.T) {
+		d, x := streamDeployment(scriptedAnswer{broken: true},
+			scriptedAnswer{silence: 3 * time.Second, events: []string{"1"}}, scriptedAnswer{events: []string{"1"}})
+		d.endpoints, d.route.MaxAttempts, d.crashing = []knapweedpulley.EndpointID{"1", "2", "3"}, 4, true
+		_, _ = d.serve(t, func(c *knapweedpulley.Call) { c.Fingerprint = 7 })
+		is.New(t).Equal(len(x.attempts()), 2)
+	})
+}
+
+func TestWholeAnswerGoesOnWhileItsBytesArrive(t *testing.T) {
+	for _, size := range []int{1000, 300 << 10} {
+		inBubble(strconv.Itoa(size)+" bytes at a time", t, func(t *testing.T) {
+			const parts = 10
+			d, x := wholeDeployment(scriptedAnswer{
+				body: strings.Repeat("x", parts*size), partSize: size, partPause: 100 * time.Millisecond,
+			})
+			answer, err := d.serve(t)
+			assertAnswered(t, answer, err, strings.Repeat("x", parts*size))
+			is.New(t).Equal(len(x.attempts()), 1)
+		})
+	}
+}
+
+// slowExchanger is silent at endpoint 1 and takes its time at endpoint 2, and records the largest
+// number of attempts that endpoint 2 had at once.
+type slowExchanger struct {
+	*scriptedExchanger
+	active, most int
+}
+
+// Exchange implements knapweedpulley.Exchanger.
+func (x *slowExchanger) Exchange(ctx context.Context, a knapweedpulley.Attempt) (knapweedpulley.Reply, error) {
+	answer := scriptedAnswer{silence: silentPause, events: []string{"1"}}
+	if a.Endpoint == "2" {
+		answer.silence = 800 * time.Millisecond
+		x.mu.Lock()
+		x.active++
+		x.most = max(x.most, x.active)
+		x.mu.Unlock()
+		defer time.AfterFunc(answer.silence, func() {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.active--
+		})
+	}
+	return &scriptedReply{ctx: ctx, scriptedAnswer: answer, body: strings.NewReader("")}, nil
+}
+
+func TestSilentStreamsDoNotOverfillAnEndpoint(t *testing.T) {
+	inBubble("that has one free slot", t, func(t *testing.T) {
+		is := is.New(t)
+		d, scripted := streamDeployment()
+		x := &slowExchanger{scriptedExchanger: scripted}
+		d.exchanger = x
+		g := d.newGateway(t)
+		var group sync.WaitGroup
+		for range 8 {
+			group.Go(func() {
+				answer, err := serveCall(t, g)
+				assertAnswered(t, answer, err, "1 ")
+			})
+			synctest.Wait()
+		}
+		// Endpoint 2 has ended its first four calls and gets three more before those at endpoint 1
+		// can move.
+		time.Sleep(900 * time.Millisecond)
+		for range 3 {
+			group.Go(func() { _, _ = serveCall(t, g) })
+			synctest.Wait()
+		}
+		group.Wait()
+		is.True(x.most <= 4)
+	})
+}
+
+func TestMovedCallLeavesRetriesForOthers(t *testing.T) {
+	full := scriptedAnswer{status: http.StatusServiceUnavailable, notRun: true}
+	inBubble("while all other endpoints refuse it", t, func(t *testing.T) {
+		d, x := streamDeployment(scriptedAnswer{silence: silentPause, events: []string{"1"}}, full)
+		answer, err := d.serve(t)
+		is := is.New(t)
+		is.True(err != nil)
+		is.Equal(len(answer.heads), 0)
+		is.True(len(x.attempts()) <= 8)
+	})
+}
+
+func TestSlowCallerIsNotTakenForSilentEndpoint(t *testing.T) {
+	inBubble("while an event is written", t, func(t *testing.T) {
+		is := is.New(t)
+		d, x := streamDeployment(scriptedAnswer{events: []string{"1", "2", "3"}})
+		g := d.newGateway(t)
+		answer := &slowAnswer{pause: silentPause}
+		is.NoErr(g.Serve(t.Context(), newCall(), answer))
+		is.Equal(answer.body.String(), "1 2 3 ")
+		is.Equal(len(x.attempts()), 1)
+	})
+}
+
+// slowAnswer is an answer whose caller takes a while to read each part.
+type slowAnswer struct {
+	recordedAnswer
+	pause time.Duration
+}
+
+// Write implements knapweedpulley.AnswerWriter.
+func (a *slowAnswer) Write(p []byte) (int, error) {
+	time.Sleep(a.pause)
+	return a.recordedAnswer.Write(p)
+}
+
+func TestMoveDoesNotWaitForCrashCheck(t *testing.T) {
+	inBubble("of an endpoint that answers no connection", t, func(t *testing.T) {
+		d, _ := streamDeployment(
+			scriptedAnswer{silence: time.Minute, silentAfter: 1, events: []string{"1", "2"}},
+			scriptedAnswer{events: []string{"2", "3"}})
+		d.crashCheckTime = 700 * time.Millisecond
+		g := d.newGateway(t)
+		began := time.Now()
+		answer, err := serveCall(t, g)
+		assertAnswered(t, answer, err, "1 2 3 ")
+		is.New(t).True(time.Since(began) < 1200*time.Millisecond)
+		// The check goes on after the call.
+		time.Sleep(d.crashCheckTime)
+	})
+}
+
+func TestSilentEndpointGetsNoNewCalls(t *testing.T) {
+	inBubble("while another is there", t, func(t *testing.T) {
+		d, x := streamDeployment(scriptedAnswer{silence: 5 * time.Second, events: []string{"1"}})
+		d.retrySlack = 0
+		g := d.newGateway(t)
+		var group sync.WaitGroup
+		defer group.Wait()
+		start := func() {
+			group.Go(func() { _, _ = serveCall(t, g) })
+			synctest.Wait()
+		}
+		start()
+		time.Sleep(1300 * time.Millisecond)
+		for range 3 {
+			start()
+		}
+		sent := x.attempts()
+		is := is.New(t)
+		is.Equal(len(sent), 4)
+		for _, id := range sent[1:] {
+			is.True(id != sent[0])
+		}
+	})
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -21,8 +23,8 @@
 
 // watchdog cancels an exchange in which the endpoint has sent nothing for too long, so that the
 // call can move to another endpoint. A sound endpoint may be silent for a while, so the watchdog
-// cancels only once the next attempt is certain to be made: another endpoint has a free slot, the
-// configuration still admits the call and the retry budget has granted the retry.
+// cancels only once the next attempt is certain to be made: a slot of another endpoint is reserved,
+// the configuration still admits the call and the retry budget has granted the retry.
 //
 // A nil watchdog does nothing.
 type watchdog struct {
@@ -31,16 +33,21 @@
 	service knapweedpulley.ServiceID
 	// version is the configuration that admitted the call.
 	version knapweedpulley.Version
-	// need excludes the silent endpoint.
-	need   fleet.Requirements
-	cancel context.CancelCauseFunc
+	// endpoint is the one that is watched; need excludes it.
+	endpoint *fleet.Endpoint
+	need     fleet.Requirements
+	cancel   context.CancelCauseFunc
+	// timeout is how long the endpoint may be silent at first.
+	timeout time.Duration
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// silentUntil is when the endpoint will have been silent for too long.
 	silentUntil knapweedpulley.Instant
 	stopped     bool
-	canceled    bool
+	// next is the request at the endpoint to which the call moves. It is set once the exchange has
+	// been canceled.
+	next *fleet.ActiveRequest
 }
 
 // startWatchdog starts a watchdog for an exchange with e if the call may run once more after it.
@@ -56,7 +63,7 @@
 	}
 	w := &watchdog{
 		gateway: h.Gateway, call: h.call, service: h.admission.Service.ID, version: h.admission.Version,
-		need: h.need(), cancel: cancel, silentUntil: h.Clock.Now().Add(timeout),
+		endpoint: e, need: h.need(), cancel: cancel, timeout: timeout, silentUntil: h.Clock.Now().Add(timeout),
 	}
 	w.need.Avoid = maps.Clone(h.avoid)
 	w.need.Avoid.Add(e.ID())
@@ -73,47 +80,92 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped || w.next != nil {
+		return
+	}
 	w.silentUntil = w.gateway.Clock.Now().Add(d)
+	w.timer.Reset(d)
 }
 
-// stop ends the watchdog and reports whether it has canceled the exchange.
-func (w *watchdog) stop() bool {
+// suspend allows the endpoint to be silent until the next call of postpone.
+func (w *watchdog) suspend() {
 	if w == nil {
-		return false
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silentUntil = math.MaxInt64
+	w.timer.Stop()
+}
+
+// watchedReader reads an answer and allows the endpoint to be silent again after each read.
+type watchedReader struct {
+	io.Reader
+	guard *watchdog
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 && r.guard != nil {
+		r.guard.postpone(r.guard.timeout)
+	}
+	return n, err
+}
+
+// stop ends the watchdog. If the watchdog has canceled the exchange, it returns the request at the
+// endpoint to which the call moves, once.
+func (w *watchdog) stop() *fleet.ActiveRequest {
+	if w == nil {
+		return nil
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
-	return w.canceled
+	next := w.next
+	w.next = nil
+	return next
 }
 
 // expire cancels the exchange if the endpoint has been silent for too long and the call can move.
 func (w *watchdog) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	left := w.silentUntil.Sub(w.gateway.Clock.Now())
-	switch {
-	case w.stopped:
-	case left > 0:
+	if w.stopped || w.next != nil {
+		return
+	}
+	if left := w.silentUntil.Sub(w.gateway.Clock.Now()); left > 0 {
 		w.timer.Reset(left)
-	case w.grantMove():
-		w.canceled = true
-		w.cancel(errStalled)
-	default:
+		return
+	}
+	next, granted := w.grantMove()
+	if !granted {
+		w.endpoint.Avoid(2 * moveRecheckPeriod)
 		w.timer.Reset(moveRecheckPeriod)
+		return
 	}
+	w.next = next
+	w.cancel(errStalled)
 }
 
-// grantMove reports whether the call can move to another endpoint now, and takes the retry from the
-// budget if so.
-func (w *watchdog) grantMove() bool {
+// grantMove begins the call at another endpoint if it can move there now, and takes the retry from
+// the budget.
+func (w *watchdog) grantMove() (*fleet.ActiveRequest, bool) {
 	e, found := w.gateway.Fleet.Choose(w.need)
-	if !found || e.Avoided() || !e.HasFreeSlot() {
-		return false
+	if !found || e.Avoided() || w.gateway.CrashTracker.Check(w.call) != nil {
+		return nil, false
 	}
 	if _, err := w.gateway.checkAdmission(w.call, w.service, w.version); err != nil {
-		return false
+		return nil, false
+	}
+	next, free := e.TryBeginRequest(w.call.Prompt)
+	if !free {
+		return nil, false
+	}
+	if !w.gateway.RetryBudget.TryWithdraw(w.service) {
+		next.End(fleet.Inconclusive)
+		return nil, false
 	}
-	return w.gateway.CrashTracker.Check(w.call) == nil && w.gateway.RetryBudget.TryWithdraw(w.service)
+	return next, true
 }
