Probe refused parts that only come together, and judge short series sooner

A request with two refused parts was never a probe, so that two parts that always come together and were refused in error would have stayed refused. Such a request may now be a probe after 12 s.

Crashes count as independent from 0.25 s apart now.

A gateway with nothing to tell a new one sends nothing.

--- a/endpoint/crash.go
+++ b/endpoint/crash.go
@@ -13,7 +13,7 @@
 	maxParts    = 512
 	// separateCrashes is the time between two crashes from which on they count as
 	// independent. Engines that lose power together crash at about the same time.
-	separateCrashes = 500 * time.Millisecond
+	separateCrashes = 250 * time.Millisecond
 	// A prompt part is refused once it was a suspect of minIndependent independent
 	// crashes, or of minCrashes crashes of which two are independent.
 	minIndependent = 3
--- a/endpoint/promptparts_test.go
+++ b/endpoint/promptparts_test.go
@@ -201,15 +201,35 @@
 	})
 }
 
+func TestSyncSendsNothingAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &countingPeers{peers: peers{}}
+		one := newSuspects(pairMembership{0}, p)
+		p.peers["two"] = newSuspects(pairMembership{1}, p)
+		one.Sync(t.Context())
+		is.New(t).Equal(p.sent, 0)
+		one.Report(t.Context(), knapweedpulley.SuspectReport{
+			Endpoint: "e", Start: 1, Parts: []knapweedpulley.PartFingerprint{system},
+		})
+		one.RecordAnswer(0, []knapweedpulley.PartFingerprint{system})
+		one.Sync(t.Context())
+		sent := p.sent
+		for range 10 {
+			one.Sync(t.Context())
+		}
+		is.New(t).Equal(p.sent, sent)
+	})
+}
+
 func TestProbes(t *testing.T) {
 	inBubble("one entry sends two probes of a refused part", t, func(t *testing.T, f *promptFleet) {
 		f.crashUntilRefused(t)
 		probes := 0
 		for range 3600 {
-			if f.one.TryProbe(deadly) {
+			if f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}) {
 				probes++
 			}
-			is.New(t).True(!f.two.TryProbe(deadly))
+			is.New(t).True(!f.two.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}))
 			time.Sleep(time.Second)
 		}
 		is.New(t).Equal(probes, 2)
@@ -217,23 +237,34 @@
 	inBubble("the second probe waits however late the first one came", t, func(t *testing.T, f *promptFleet) {
 		f.crashUntilRefused(t)
 		time.Sleep(time.Hour)
-		is.New(t).True(f.one.TryProbe(deadly))
+		is.New(t).True(f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}))
 		time.Sleep(30 * time.Second)
-		is.New(t).True(!f.one.TryProbe(deadly))
+		is.New(t).True(!f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}))
 		time.Sleep(time.Minute)
-		is.New(t).True(f.one.TryProbe(deadly))
+		is.New(t).True(f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}))
 	})
 	inBubble("a part that can't be told apart from another is probed sooner", t, func(t *testing.T, f *promptFleet) {
 		for i := range knapweedpulley.Fingerprint(5) {
 			f.crash(t, i, deadly, deadly+1)
 			time.Sleep(time.Second)
 		}
-		is.New(t).True(f.one.TryProbe(deadly))
-		is.New(t).True(f.one.TryProbe(deadly + 1))
-		is.New(t).True(!f.one.TryProbe(deadly))
+		is.New(t).True(f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}))
+		is.New(t).True(f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly + 1}))
+		is.New(t).True(!f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}))
+	})
+	inBubble("parts that only occur together are probed together", t, func(t *testing.T, f *promptFleet) {
+		for i := range knapweedpulley.Fingerprint(5) {
+			f.crash(t, i, deadly, deadly+1)
+			time.Sleep(time.Second)
+		}
+		both := []knapweedpulley.PartFingerprint{deadly, deadly + 1}
+		is.New(t).True(!f.one.TryProbe(both))
+		time.Sleep(time.Minute)
+		is.New(t).True(f.one.TryProbe(both))
+		is.New(t).True(!f.one.TryProbe(both))
 	})
 	inBubble("a part that isn't refused is not probed", t, func(t *testing.T, f *promptFleet) {
-		is.New(t).True(!f.one.TryProbe(deadly))
+		is.New(t).True(!f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}))
 	})
 }
 
--- a/endpoint/refusedpart.go
+++ b/endpoint/refusedpart.go
@@ -9,13 +9,15 @@
 
 const (
 	// firstProbeDelay is the time after which one request with a refused part is sent
-	// as a probe. The next one is sent no earlier than probeDelayFactor times that time
-	// later.
-	firstProbeDelay  = 6 * time.Second
-	probeDelayFactor = 10
-	maxProbes        = 2
+	// as a probe, nextProbeDelay the time until the next one.
+	firstProbeDelay = 6 * time.Second
+	nextProbeDelay  = time.Minute
+	maxProbes       = 2
 	// ambiguousProbeDelay replaces firstProbeDelay for parts that can't be told apart.
 	ambiguousProbeDelay = time.Second
+	// jointProbeDelay is the time after which a request with several refused parts can
+	// be a probe. Until then, each is probed by a request without the others.
+	jointProbeDelay = 12 * time.Second
 	// settleTime is the time in which other evidence can end the refusal of a part.
 	settleTime = 3 * time.Second
 )
@@ -54,16 +56,24 @@
 	return r.adopted || now.Sub(r.since) >= settleTime
 }
 
-// tryProbe reports whether a probe may be sent now, and counts it if so.
-func (r *refusedPart) tryProbe(now knapweedpulley.Instant) bool {
-	next := r.nextProbe.Load()
-	if r.adopted || r.probes.Load() >= maxProbes || now < knapweedpulley.Instant(next) {
-		return false
-	}
-	if !r.nextProbe.CompareAndSwap(next, int64(now.Add(probeDelayFactor*r.firstDelay()))) {
-		return false
-	}
+// mayProbe reports whether a probe may be sent now.
+func (r *refusedPart) mayProbe(now knapweedpulley.Instant) bool {
+	return !r.adopted && r.probes.Load() < maxProbes && now >= knapweedpulley.Instant(r.nextProbe.Load())
+}
+
+// countProbe counts a probe that is sent now.
+func (r *refusedPart) countProbe(now knapweedpulley.Instant) {
 	r.probes.Add(1)
+	r.nextProbe.Store(int64(now.Add(nextProbeDelay)))
+}
+
+// mayProbe reports whether a request with these refused parts may be a probe now.
+func mayProbe(refused map[knapweedpulley.PartFingerprint]*refusedPart, now knapweedpulley.Instant) bool {
+	for _, r := range refused {
+		if !r.mayProbe(now) || (len(refused) > 1 && now.Sub(r.since) < jointProbeDelay) {
+			return false
+		}
+	}
 	return true
 }
 
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -101,10 +101,31 @@
 
 // TryProbe implements knapweedpulley.PromptSuspectList. Only the first member of the
 // group probes.
-func (s *Suspects) TryProbe(p knapweedpulley.PartFingerprint) bool {
-	r := s.view.Load().refused[p]
+func (s *Suspects) TryProbe(parts []knapweedpulley.PartFingerprint) bool {
 	members := s.Group.Members()
-	return r != nil && len(members) > 0 && members[0].Entry == s.Group.Self().Entry && r.tryProbe(s.Clock.Now())
+	if len(members) == 0 || members[0].Entry != s.Group.Self().Entry {
+		return false
+	}
+	known := s.view.Load().refused
+	refused := make(map[knapweedpulley.PartFingerprint]*refusedPart)
+	for _, p := range parts {
+		if r := known[p]; r != nil {
+			refused[p] = r
+		}
+	}
+	if len(refused) == 0 || !mayProbe(refused, s.Clock.Now()) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	if !mayProbe(refused, now) {
+		return false
+	}
+	for _, r := range refused {
+		r.countProbe(now)
+	}
+	return true
 }
 
 // RecordAnswer implements knapweedpulley.PromptSuspectList.
--- a/endpoint/suspectsync.go
+++ b/endpoint/suspectsync.go
@@ -49,7 +49,7 @@
 	return err == nil
 }
 
-// snapshot returns the answered suspects, the refused parts and the unexplained crashes.
+// snapshot returns the refused parts, the unexplained crashes and the answered suspects.
 func (s *Suspects) snapshot() []knapweedpulley.SuspectReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,7 +57,10 @@
 	for p := range s.refused {
 		first.RefusedParts = append(first.RefusedParts, p)
 	}
-	reports := []knapweedpulley.SuspectReport{first}
+	var reports []knapweedpulley.SuspectReport
+	if len(first.RefusedParts) > 0 {
+		reports = append(reports, first)
+	}
 	v := s.view.Load()
 	for _, id := range s.crashOrder[max(0, len(s.crashOrder)-maxWeighedCrashes):] {
 		c := s.crashes[id]
--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -71,27 +71,15 @@
 	return nil
 }
 
-// TryProbe reports whether a refused call may be sent to find out whether a part of its prompt
-// still crashes endpoints. No other part or content of the call may be refused.
+// TryProbe reports whether a refused call may be sent to find out whether the parts of its prompt
+// still crash endpoints.
 func (c *CrashTracker) TryProbe(call *knapweedpulley.Call) bool {
-	if c.suspectList.State(call.Fingerprint) == knapweedpulley.SuspectRefuse {
+	if c.suspectList.State(call.Fingerprint) == knapweedpulley.SuspectRefuse ||
+		!c.suspectList.TryProbe(call.SharedFingerprints()) {
 		return false
 	}
-	refused := make(knapweedpulley.Set[knapweedpulley.PartFingerprint])
-	for _, p := range call.SharedFingerprints() {
-		if c.suspectList.IsRefused(p) {
-			refused.Add(p)
-		}
-	}
-	if len(refused) != 1 {
-		return false
-	}
-	for p := range refused {
-		if !c.suspectList.TryProbe(p) {
-			return false
-		}
-		c.log.WithField("request", call.ID).WithField("part", p.String()).Info("sending a request with a refused prompt part as a probe")
-	}
+	c.log.WithField("request", call.ID).WithField("parts", partNames(call)).
+		Info("sending a request with a refused prompt part as a probe")
 	return true
 }
 
--- a/suspect.go
+++ b/suspect.go
@@ -50,9 +50,9 @@
 	SuspectList
 	// IsRefused reports whether requests with a prompt part are refused.
 	IsRefused(p PartFingerprint) bool
-	// TryProbe reports whether a request with a refused part may be sent now to find
-	// out whether it still crashes engines.
-	TryProbe(p PartFingerprint) bool
+	// TryProbe reports whether a request may be sent now, though some of its parts are
+	// refused, to find out whether they still crash engines.
+	TryProbe(parts []PartFingerprint) bool
 	// RecordAnswer records that an engine has answered a request to its end, which
 	// clears its content and parts.
 	RecordAnswer(f Fingerprint, parts []PartFingerprint)
