--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -119,10 +119,11 @@
 		Zone: p.settings.Zone, Address: p.settings.Links,
 	}
 	p.peers = gateway.NewPeers(self)
-	suspects := p.newSuspects(connections, clock)
+	suspects := p.newSuspects(clock)
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
+	exchanger := platform.NewExchanger(pool)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
-		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Clock: clock, Log: p.log,
+		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Exchanger: exchanger, Clock: clock, Log: p.log,
 		Port: p.settings.KeeperPort, RemoteLoads: p.settings.RemoteLoads, Gateways: p.settings.Gateways, Self: self,
 	})
 	p.placer = placer
@@ -137,7 +138,6 @@
 		OnConfiguration: p.configure, OnEndpoints: p.fleet.Update,
 	})
 	p.follower = follower
-	exchanger := platform.NewExchanger(pool)
 	p.clock = clock
 	p.gateway = gateway.New(gateway.Options{
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
@@ -183,12 +183,14 @@
 	p.placer.Configure(s.Services)
 }
 
-// newSuspects creates the list of suspects of crashes, and keeps the other gateways up to date.
-func (p *process) newSuspects(connections *link.Connections, clock knapweedpulley.Clock) *endpoint.Suspects {
+// newSuspects returns the list of suspects of crashes, with connections of its own, and keeps the
+// other gateways up to date.
+func (p *process) newSuspects(clock knapweedpulley.Clock) *endpoint.Suspects {
+	connections, closeConnections := link.NewConnections(nil)
 	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{
 		Group: p.peers, Peer: link.NewSuspectSender(connections), Clock: clock, Log: p.log,
 	})
-	p.cleanups.Add(machine.Every(suspectSyncPeriod, func() { syncSuspects(suspects) }))
+	p.cleanups.Add(closeConnections, machine.Every(suspectSyncPeriod, func() { syncSuspects(suspects) }))
 	return suspects
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -13,8 +13,10 @@
 // newDispatcher creates the dispatcher of requests and its dependencies: the list of
 // suspects, the links to the agents, the claims and the loader of models.
 func (e *Entry) newDispatcher() *dispatch.Dispatcher {
+	crashReports, cleanup := link.NewConnections(e.certificates.ClientCredentials())
+	e.addCleanup(cleanup)
 	e.suspects = endpoint.NewSuspects(endpoint.SuspectOptions{
-		Group: e.members, Peer: link.NewSuspectSender(e.connections), Clock: e.clock, Log: e.log,
+		Group: e.members, Peer: link.NewSuspectSender(crashReports), Clock: e.clock, Log: e.log,
 	})
 	links, cleanup := link.NewTable(link.EndpointSettings{
 		Self:        e.self,
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -20,13 +20,17 @@
 	// failureWeight is the weight of the last request in the moving average of
 	// failures, which covers about the last ten requests.
 	failureWeight = 0.1
+	// maxLoad bounds the numbers of requests that an endpoint reports, so that the costs fit into 64
+	// bits.
+	maxLoad = 1_000_000
 )
 
 // receivedReport is a keeper's report with the state at its arrival.
 type receivedReport struct {
 	knapweedpulley.EngineReport
 	at knapweedpulley.Instant
-	// active is the number of the gateway's own requests at the endpoint.
+	// active is the number of the gateway's own requests at the endpoint when the first
+	// report with these request counts arrived.
 	active int32
 }
 
@@ -72,8 +76,8 @@
 }
 
 // Report returns the last report of the keeper on the registered run of the
-// endpoint, its age, and whether it is still valid. The report is nil if there is
-// none.
+// endpoint, the time since the keeper read the endpoint for it, and whether it is
+// still valid. The report is nil if there is none.
 func (e *Endpoint) Report() (*knapweedpulley.EngineReport, time.Duration, bool) {
 	r, age, fresh := e.lastReport()
 	if r == nil {
@@ -88,7 +92,7 @@
 	if r == nil || r.Start < e.Registration().Start {
 		return nil, 0, false
 	}
-	age := e.clock.Now().Sub(r.at)
+	age := e.clock.Now().Sub(r.at) + r.Age
 	return r, age, age < r.Lifetime
 }
 
@@ -131,9 +135,9 @@
 	return knapweedpulley.Instant(e.avoidUntil.Load()).After(e.clock.Now())
 }
 
-// unreachable reports whether the endpoint refused connections recently and its
-// keeper has sent no report since.
-func (e *Endpoint) unreachable() bool {
+// Unreachable reports whether the endpoint refused connections recently and its
+// keeper has not read it since.
+func (e *Endpoint) Unreachable() bool {
 	return knapweedpulley.Instant(e.unreachableUntil.Load()).After(e.clock.Now())
 }
 
@@ -144,13 +148,30 @@
 
 // Observe records the load that the endpoint reported with an answer.
 func (e *Endpoint) Observe(l knapweedpulley.EndpointLoad) {
+	l.Running, l.Waiting = bounded(l.Running), bounded(l.Waiting)
 	e.load.Store(&receivedLoad{EndpointLoad: l, active: e.active.Load()})
 }
 
-// setReport stores a keeper's report, which also shows that the endpoint is reachable.
+// setReport stores a keeper's report. If the keeper read the endpoint after it refused
+// connections, the endpoint is reachable again.
 func (e *Endpoint) setReport(r knapweedpulley.EngineReport) {
-	e.unreachableUntil.Store(0)
-	e.report.Store(&receivedReport{EngineReport: r, at: e.clock.Now(), active: e.active.Load()})
+	now := e.clock.Now()
+	readAt := now.Add(-r.Age)
+	if refusedAt := knapweedpulley.Instant(e.unreachableUntil.Load()).Add(-unreachableTime); !refusedAt.After(readAt) {
+		e.unreachableUntil.Store(0)
+	}
+	active := e.active.Load()
+	if last := e.report.Load(); last != nil && last.at.After(readAt) {
+		// The request counts are those of the last report.
+		active = last.active
+	}
+	r.Running, r.Waiting = bounded(r.Running), bounded(r.Waiting)
+	e.report.Store(&receivedReport{EngineReport: r, at: now, active: active})
+}
+
+// bounded returns a reported number of requests, limited to 0 to maxLoad.
+func bounded(n int) int {
+	return min(max(n, 0), maxLoad)
 }
 
 // Outcome is the outcome of a request at an endpoint.
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -1,8 +1,9 @@
 package installation_test
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,9 @@
 	storefake "github.com/knapweedpulley/knapweedpulley/store/fake"
 )
 
+// deeplyNested is nested more deeply than encoding/json decodes.
+var deeplyNested = strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+
 // fixture is a follower with a fake store. It records the endpoints that the
 // follower passes on.
 type fixture struct {
@@ -30,6 +34,7 @@
 	mu        sync.Mutex
 	endpoints knapweedpulley.Set[knapweedpulley.EndpointID]
 	updates   int
+	logged    bytes.Buffer
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -41,7 +46,7 @@
 func (f *fixture) start() {
 	follower, cleanup := installation.NewFollower(installation.Options{
 		Objects: f.store, Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
-		Log:             logbook.New(io.Discard, log.InfoLevel, "test", "test"),
+		Log:             logbook.New(f, log.InfoLevel, "test", "test"),
 		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.apply,
 	})
 	f.follower = follower
@@ -49,6 +54,26 @@
 	synctest.Wait()
 }
 
+// Write implements io.Writer for the log.
+func (f *fixture) Write(line []byte) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.logged.Write(line)
+}
+
+// linesWith returns the logged lines that contain a text.
+func (f *fixture) linesWith(text string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var lines []string
+	for line := range strings.Lines(f.logged.String()) {
+		if strings.Contains(line, text) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 func (f *fixture) apply(list []knapweedpulley.RegisteredEndpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -69,8 +94,12 @@
 
 func (f *fixture) write(kind knapweedpulley.Kind, name string, value any) {
 	f.t.Helper()
-	data, err := json.Marshal(value)
-	is.New(f.t).NoErr(err)
+	data, raw := value.(json.RawMessage)
+	if !raw {
+		var err error
+		data, err = json.Marshal(value)
+		is.New(f.t).NoErr(err)
+	}
 	r, err := f.store.Put(f.t.Context(), kind, name, data, f.revisions[name])
 	is.New(f.t).NoErr(err)
 	f.revisions[name] = r
@@ -250,6 +279,91 @@
 		})
 }
 
+func (f *fixture) assertInvalidLogged(times int) {
+	f.t.Helper()
+	is := is.New(f.t)
+	lines := f.linesWith("invalid endpoint registration")
+	is.Equal(len(lines), times)
+	for _, l := range lines {
+		is.True(len(l) < 1000)
+	}
+}
+
+func TestOddRegistrationIsLoggedOnce(t *testing.T) {
+	runWithFakeTime("a registration that is written again and again", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		for n := range 5 {
+			f.put(knapweedpulley.KindEndpoints, "odd", n)
+		}
+		f.assertInvalidLogged(1)
+		f.register("odd")
+		f.put(knapweedpulley.KindEndpoints, "odd", "nonsense")
+		f.assertInvalidLogged(2)
+		f.remove("odd")
+		f.put(knapweedpulley.KindEndpoints, "odd", "nonsense")
+		f.assertInvalidLogged(3)
+	})
+	runWithFakeTime("a registration with a long number", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.put(knapweedpulley.KindEndpoints, "odd", json.RawMessage(`{"Slots":`+strings.Repeat("9", 1<<20)+`}`))
+		f.assertInvalidLogged(1)
+	})
+}
+
+func TestOddRegistrationIsRemovedAlone(t *testing.T) {
+	runWithFakeTime("a registration that turns odd and vanishes", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.register("good")
+		f.register("odd")
+		f.put(knapweedpulley.KindEndpoints, "odd", json.RawMessage(deeplyNested))
+		f.assertUses("odd", false)
+		f.remove("odd")
+		f.assertUses("good", true)
+		f.register("odd")
+		f.assertUses("odd", true)
+	})
+	runWithFakeTime("a registration that is odd when the store returns", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.register("good")
+		f.register("odd")
+		f.store.SetDown(true)
+		time.Sleep(5 * time.Second)
+		f.store.SetDown(false)
+		f.put(knapweedpulley.KindEndpoints, "odd", json.RawMessage(`5`))
+		f.assertUses("odd", false)
+		f.assertUses("good", true)
+	})
+}
+
+func TestRegistrationOfUnknownServiceHidesNoEndpoint(t *testing.T) {
+	sound := knapweedpulley.RegisteredEndpoint{Service: "llm", Address: "10.0.0.1:1", Start: 1}
+	later := knapweedpulley.RegisteredEndpoint{Service: "novel", Address: "10.0.0.1:1", Start: 2}
+	configuration := knapweedpulley.Installation{
+		Version: 1, Services: map[knapweedpulley.ServiceID]knapweedpulley.Service{"llm": {ID: "llm"}},
+	}
+	runWithFakeTime("an endpoint of an unknown service at the address of another is not used", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.put(knapweedpulley.KindEndpoints, "sound", sound)
+		f.put(knapweedpulley.KindEndpoints, "later", later)
+		f.put(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, configuration)
+		f.assertUses("sound", true)
+		f.assertUses("later", false)
+	})
+	runWithFakeTime("it is used once the configuration has its service", t, func(_ *testing.T, f *fixture) {
+		f.start()
+		f.put(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, configuration)
+		f.put(knapweedpulley.KindEndpoints, "sound", sound)
+		f.put(knapweedpulley.KindEndpoints, "later", later)
+		f.assertUses("later", false)
+		next := configuration
+		next.Version = 2
+		next.Services = map[knapweedpulley.ServiceID]knapweedpulley.Service{"llm": {ID: "llm"}, "novel": {ID: "novel"}}
+		f.put(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, next)
+		f.assertUses("later", true)
+		f.assertUses("sound", true) // The fleet decides which of them is used.
+	})
+}
+
 func assertCode(t *testing.T, err error, want knapweedpulley.Code) {
 	t.Helper()
 	is := is.New(t)
