--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -52,6 +52,10 @@
 	sweepPeriod = 2 * time.Second
 	// gatewayCountPeriod is the time between two updates of the number of gateways.
 	gatewayCountPeriod = 500 * time.Millisecond
+	// suspectSyncPeriod is the pause between two synchronizations of the suspects of crashes with
+	// the other gateways. suspectSyncTimeout bounds one.
+	suspectSyncPeriod  = 250 * time.Millisecond
+	suspectSyncTimeout = time.Second
 )
 
 // process is a running gateway.
@@ -115,7 +119,7 @@
 		Zone: p.settings.Zone, Address: p.settings.Links,
 	}
 	p.peers = gateway.NewPeers(self)
-	suspects := p.newSuspects()
+	suspects := p.newSuspects(clock)
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
 	exchanger := platform.NewExchanger(pool)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
@@ -161,13 +165,6 @@
 	return p.serveCallers()
 }
 
-// newSuspects returns the list of contents that crash endpoints, with connections of its own.
-func (p *process) newSuspects() *endpoint.Suspects {
-	connections, closeConnections := link.NewConnections(nil)
-	p.cleanups.Add(closeConnections)
-	return endpoint.NewSuspects(p.peers, link.NewSuspectSender(connections))
-}
-
 // configure applies a configuration that came into force.
 func (p *process) configure(s *installation.Snapshot) {
 	ownLimits := knapweedpulley.CallerLimits{
@@ -186,6 +183,24 @@
 	p.placer.Configure(s.Services)
 }
 
+// newSuspects returns the list of suspects of crashes, with connections of its own, and keeps the
+// other gateways up to date.
+func (p *process) newSuspects(clock knapweedpulley.Clock) *endpoint.Suspects {
+	connections, closeConnections := link.NewConnections(nil)
+	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{
+		Group: p.peers, Peer: link.NewSuspectSender(connections), Clock: clock, Log: p.log,
+	})
+	p.cleanups.Add(closeConnections, machine.Every(suspectSyncPeriod, func() { syncSuspects(suspects) }))
+	return suspects
+}
+
+// syncSuspects tells the other gateways what they don't know of the suspects of crashes.
+func syncSuspects(suspects *endpoint.Suspects) {
+	ctx, cancel := context.WithTimeout(context.Background(), suspectSyncTimeout)
+	defer cancel()
+	suspects.Sync(ctx)
+}
+
 // updateGatewayCount takes the gateways from the reports of the keepers, and divides the rates and
 // budgets that all gateways share among that many.
 func (p *process) updateGatewayCount() {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -15,7 +15,9 @@
 func (e *Entry) newDispatcher() *dispatch.Dispatcher {
 	crashReports, cleanup := link.NewConnections(e.certificates.ClientCredentials())
 	e.addCleanup(cleanup)
-	e.suspects = endpoint.NewSuspects(e.members, link.NewSuspectSender(crashReports))
+	e.suspects = endpoint.NewSuspects(endpoint.SuspectOptions{
+		Group: e.members, Peer: link.NewSuspectSender(crashReports), Clock: e.clock, Log: e.log,
+	})
 	links, cleanup := link.NewTable(link.EndpointSettings{
 		Self:        e.self,
 		Connections: e.connections,
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,6 +24,9 @@
 	firstAnswerFactor = 2
 	// minFirstAnswerTimeout is the shortest such wait.
 	minFirstAnswerTimeout = 250 * time.Millisecond
+	// soundAnswerTime is the time from the first event of a stream after which the call counts as
+	// one that doesn't crash endpoints. A call that does crashes them when the answer begins.
+	soundAnswerTime = 500 * time.Millisecond
 	// moveCheckTime is how long a call that moves waits for the result of the check whether its
 	// endpoint has crashed.
 	moveCheckTime = 50 * time.Millisecond
@@ -102,12 +105,16 @@
 	}
 }
 
-// outcome returns the endpoint's outcome after its answer ended.
+// outcome returns the endpoint's outcome after its answer ended. A successful answer shows that the
+// call doesn't crash endpoints.
 func (h *callHandler) outcome(ctx context.Context, e *fleet.Endpoint, err error) fleet.Outcome {
 	switch {
 	case err == nil && h.status >= http.StatusInternalServerError:
 		return fleet.Failed
 	case err == nil:
+		if h.status < http.StatusMultipleChoices {
+			h.CrashTracker.RecordAnswer(h.call)
+		}
 		return fleet.Answered
 	case errors.Is(err, errEndpointFailed):
 		return fleet.Failed
@@ -137,14 +144,13 @@
 // result, as its endpoint may be dark.
 func (h *callHandler) checkCrash(e *fleet.Endpoint) {
 	if h.next == nil {
-		h.CrashTracker.HandleBrokenExchange(e, h.call.Fingerprint)
+		h.CrashTracker.HandleBrokenExchange(e, h.call)
 		return
 	}
 	done := make(chan struct{})
-	content := h.call.Fingerprint
 	go func() {
 		defer close(done)
-		h.CrashTracker.HandleBrokenExchange(e, content)
+		h.CrashTracker.HandleBrokenExchange(e, h.call)
 	}()
 	timer := time.NewTimer(moveCheckTime)
 	defer timer.Stop()
@@ -244,6 +250,8 @@
 	ctx context.Context, guard *watchdog, reply knapweedpulley.Reply, visit *fleet.ActiveRequest,
 ) (bool, error) {
 	resumable := h.admission.Route.Retry == knapweedpulley.Resumable
+	var began knapweedpulley.Instant
+	recorded := false
 	for {
 		event, err := reply.Event()
 		if errors.Is(err, io.EOF) {
@@ -258,6 +266,13 @@
 		if err := h.writeEvent(reply, event); err != nil {
 			return false, err
 		}
+		if began == 0 {
+			began = h.lastEventAt
+		}
+		if !recorded && h.lastEventAt.Sub(began) >= soundAnswerTime {
+			recorded = true
+			h.CrashTracker.RecordAnswer(h.call)
+		}
 		guard.postpone(h.stallTimeout())
 	}
 }
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -153,7 +153,7 @@
 // the budget.
 func (w *watchdog) grantMove() (*fleet.ActiveRequest, bool) {
 	e, found := w.gateway.Fleet.Choose(w.need)
-	if !found || e.Avoided() || w.gateway.CrashTracker.State(w.call.Fingerprint) == knapweedpulley.SuspectRefuse {
+	if !found || e.Avoided() || w.gateway.CrashTracker.Check(w.call) != nil {
 		return nil, false
 	}
 	if _, err := w.gateway.checkAdmission(w.call, w.service, w.version); err != nil {
--- a/link/suspects_test.go
+++ b/link/suspects_test.go
@@ -51,7 +51,13 @@
 	is.NoErr(sender.SendSuspects(ctx, to, first))
 	is.Equal(<-received.reports, first)
 	fail(proxy, received)
-	second := knapweedpulley.SuspectReport{Endpoint: "e", Start: 2, Fingerprints: []knapweedpulley.Fingerprint{7, 8}}
+	second := knapweedpulley.SuspectReport{
+		Endpoint: "e", Start: 2, Fingerprints: []knapweedpulley.Fingerprint{7, 8},
+		Parts:            []knapweedpulley.PartFingerprint{1, 2},
+		AnsweredContents: []knapweedpulley.Fingerprint{3},
+		AnsweredParts:    []knapweedpulley.PartFingerprint{4},
+		RefusedParts:     []knapweedpulley.PartFingerprint{5},
+	}
 	is.NoErr(sender.SendSuspects(ctx, to, second))
 	is.Equal(<-received.reports, second)
 }
