Silence sound endpoints in the soak and check that answers are not cut

Endpoints fall silent for 1 to 1.6 s, before the first byte or in the middle of an answer, and go on. Meanwhile the configuration changes: keys, the timeouts of routes and the weights of a route between two services. The soak now fails if a gateway without faults ends an answer in time at which a sound endpoint was at work.

The series of faults draw from a random source of their own, so that the regression seeds keep the faults that they had. Retries are scarcer (repeatSlack 9 instead of 50) so that the budget of a gateway is spent at times. New keys get names of their own also if two keys are replaced at once.

--- a/faults/soak/caller.go
+++ b/faults/soak/caller.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// requestTimeout is the deadline that callers send in X-Deadline-Ms.
-	requestTimeout = 2 * time.Second
+	// shortTimeout and longTimeout are the deadlines that callers send in X-Deadline-Ms.
+	shortTimeout = 2 * time.Second
+	longTimeout  = 3 * time.Second
 	// requestPause is the pause between the end of a caller's request and its next one.
 	requestPause = 15 * time.Millisecond
 )
@@ -35,12 +36,15 @@
 	Kind    Kind
 	Key     string
 	Gateway *Gateway
+	Timeout time.Duration
 	Sent    time.Time
 	Elapsed time.Duration
 	// UndisturbedAtStart is how long the gateway had been undisturbed when the request
 	// was sent, UndisturbedAtEnd when it ended.
 	UndisturbedAtStart time.Duration
 	UndisturbedAtEnd   time.Duration
+	// RunsUndisturbed is set if the endpoints that ran the request were undisturbed meanwhile.
+	RunsUndisturbed bool
 	// Status is zero if there was no answer. Complete is set if the body was read to its
 	// end without an error.
 	Status   int
@@ -92,7 +96,8 @@
 		Sent: time.Now(), UndisturbedAtStart: c.cluster.UndisturbedFor(g),
 	}
 	model := fmt.Sprintf("m%d", random.IntN(modelCount))
-	ctx, cancel := context.WithTimeout(context.Background(), 2*requestTimeout)
+	o.Timeout = []time.Duration{shortTimeout, longTimeout}[random.IntN(2)]
+	ctx, cancel := context.WithTimeout(context.Background(), 2*o.Timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.callerAddress+"/"+string(o.Kind)+"/x",
 		io.NopCloser(strings.NewReader(id)))
@@ -103,7 +108,7 @@
 	r.ContentLength = int64(len(id))
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("Authorization", "Bearer "+o.Key)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(o.Timeout.Milliseconds()))
 	if o.Kind == Stream || o.Kind == Once {
 		r.Header.Set("X-Model", model)
 		r.Header.Set("X-Token-Counts", "100,100")
@@ -117,5 +122,9 @@
 	}
 	o.Elapsed = time.Since(o.Sent)
 	o.UndisturbedAtEnd = c.cluster.UndisturbedFor(g)
+	o.RunsUndisturbed = true
+	for _, n := range c.cluster.recorder.Runs(id) {
+		o.RunsUndisturbed = o.RunsUndisturbed && n.endpoint.UndisturbedFor() > time.Since(n.StartedAt)
+	}
 	return o
 }
--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -16,6 +15,8 @@
 	// deadlineTolerance is the time past its deadline within which a request has to end.
 	// It allows for other load on the machine.
 	deadlineTolerance = time.Second
+	// withdrawalTolerance is the time within which the withdrawal of a key is recorded.
+	withdrawalTolerance = 500 * time.Millisecond
 )
 
 // Check records a violation for each guarantee that an outcome breaks.
@@ -25,6 +26,7 @@
 		checkRuns(cluster, o, runs)
 		checkAnswer(cluster, o, runs)
 		checkTimeLimits(cluster, o, runs)
+		checkNotCut(cluster, o, runs)
 	}
 }
 
@@ -67,18 +69,14 @@
 
 // expectedStream returns the complete event stream that answers a request.
 func expectedStream(id string) string {
-	var b strings.Builder
-	for n := range eventsPerStream {
-		_, _ = fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n+1, id)
-	}
-	return b.String()
+	return strings.Join(events(id, 1), "")
 }
 
 // checkTimeLimits checks that a request ended by its deadline, that a withdrawn key no
 // longer works, and that a valid key is accepted. Each check applies only if the gateway
 // had been undisturbed for long enough.
 func checkTimeLimits(cluster *Cluster, o Outcome, runs []Run) {
-	if o.UndisturbedAtEnd > o.Elapsed+recoveryTime && o.Elapsed > requestTimeout+deadlineTolerance {
+	if o.UndisturbedAtEnd > o.Elapsed+recoveryTime && o.Elapsed > o.Timeout+deadlineTolerance {
 		cluster.recorder.RecordViolation("%s request %s ended late, after %s, with status %d", o.Kind, o.ID, o.Elapsed, o.Status)
 	}
 	if o.UndisturbedAtStart < recoveryTime {
@@ -94,3 +92,22 @@
 		cluster.recorder.RecordViolation("request %s was refused as unauthorized with a valid key", o.ID)
 	}
 }
+
+// checkNotCut checks that a gateway without faults does not end an answer in time at which a sound
+// endpoint was still at work or which it had completed.
+func checkNotCut(cluster *Cluster, o Outcome, runs []Run) {
+	at, withdrawn := cluster.WithdrawnAt(o.Key)
+	// The time of a withdrawal is recorded after it may have come into force.
+	withdrawn = withdrawn && at.Before(o.Sent.Add(o.Elapsed+withdrawalTolerance))
+	cut := !o.Complete || o.Status == http.StatusBadGateway || o.Status == http.StatusGatewayTimeout
+	if !cut || withdrawn || !o.RunsUndisturbed || o.UndisturbedAtEnd <= o.Elapsed ||
+		o.Elapsed >= min(o.Timeout, shortestRouteTimeout) {
+		return
+	}
+	for _, r := range runs {
+		if r.End != RunUnfinished {
+			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s",
+				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End)
+		}
+	}
+}
--- a/faults/soak/cluster.go
+++ b/faults/soak/cluster.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +43,6 @@
 // Backend is an endpoint with its proxy and, for an engine, its keeper.
 type Backend struct {
 	*Endpoint
-	proxy *Proxy
 	// keeper and linkProxy are nil for a plain service. linkProxy leads to the keeper.
 	keeper    *Process
 	linkProxy *Proxy
@@ -59,6 +60,8 @@
 	storeServer     *http.Server
 	gateways        []*Gateway
 	backends        []*Backend
+	// spare is the only endpoint of the service spare, to which a part of the route safe may lead.
+	spare *Backend
 
 	mu            sync.Mutex
 	version       uint64
@@ -104,9 +107,14 @@
 		}
 	}
 	for i := range plainServiceCount {
-		if err := c.addPlainService(i + 1); err != nil {
+		s, err := c.startPlainService("plain", i+1)
+		if err != nil {
 			return err
 		}
+		c.backends = append(c.backends, s)
+	}
+	if c.spare, err = c.startPlainService("spare", plainServiceCount+1); err != nil {
+		return err
 	}
 	for i := range gatewayCount {
 		if err := c.addGateway(i + 1); err != nil {
@@ -149,14 +157,18 @@
 	return errors.CombineErrors(s.Start(), s.keeper.Start())
 }
 
-func (c *Cluster) addPlainService(n int) error {
-	s := &Backend{Endpoint: NewEndpoint("plain", c.address(41, n, 8000), c.address(40, n, 8000), false, c.store, c.recorder)}
+// endpoints returns the endpoints of all services.
+func (c *Cluster) endpoints() []*Backend {
+	return append(slices.Clone(c.backends), c.spare)
+}
+
+func (c *Cluster) startPlainService(service string, n int) (*Backend, error) {
+	s := &Backend{Endpoint: NewEndpoint(service, c.address(41, n, 8000), c.address(40, n, 8000), false, c.store, c.recorder)}
 	var err error
 	if s.proxy, err = NewProxy(s.publicAddress, s.listenAddress); err != nil {
-		return err
+		return nil, err
 	}
-	c.backends = append(c.backends, s)
-	return s.Start()
+	return s, s.Start()
 }
 
 func (c *Cluster) addGateway(n int) error {
@@ -169,7 +181,7 @@
 		"id": fmt.Sprintf("gateway-%d", n), "zone": "a", "callers": g.callerAddress, "ready": g.readyAddress,
 		"links": c.address(10, n, 7600), "metrics": c.address(10, n, 9464), "keeperPort": 7600,
 		"store": map[string]any{"address": c.address(20, n, 9000), "timeout": storeTimeout.String()},
-		"grace": gracePeriod.String(), "repeatSlack": 50, "gateways": gatewayCount, "remoteLoads": 4, "memoryMb": 284,
+		"grace": gracePeriod.String(), "repeatSlack": 9, "gateways": gatewayCount, "remoteLoads": 4, "memoryMb": 284,
 		"logLevel": "info",
 	})
 	if err != nil {
@@ -204,7 +216,7 @@
 }
 
 // WriteConfiguration writes the next version of the configuration. The number of its extra
-// routes depends on the version.
+// routes, the timeouts and the weights of the route safe depend on the version.
 func (c *Cluster) WriteConfiguration() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -213,6 +225,14 @@
 		route("safe", "safe", "plain", false), route("unsafe", "unsafe", "plain", false),
 		route("stream", "streaming", "llm", true), route("once", "streaming", "llm", false),
 	}
+	for i := range routes {
+		routes[i]["timeoutMs"] = (shortestRouteTimeout + time.Duration((c.version+uint64(i))%4)*500*time.Millisecond).Milliseconds()
+	}
+	if weight := float64(c.version%4) / 8; weight > 0 {
+		routes[0]["trafficSplit"] = []map[string]any{
+			{"service": "plain", "weight": 1 - weight}, {"service": "spare", "weight": weight},
+		}
+	}
 	for i := range c.version % 7 {
 		routes = append(routes, route(fmt.Sprintf("extra-%d", i), "safe", "plain", false))
 	}
@@ -226,6 +246,7 @@
 		"version": c.version, "routes": routes,
 		"services": []map[string]any{
 			{"name": "plain", "maxConns": 100},
+			{"name": "spare", "maxConns": 100},
 			{"name": "llm", "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "kvCapacity": 100000, "weightsMb": modelsPerEngine*modelSizeMB + 1, "adapterSlots": 2, "loadsPerS": 10,
 				"models": models,
@@ -236,6 +257,9 @@
 	})
 }
 
+// shortestRouteTimeout is the shortest timeout that a version gives to a route that callers use.
+const shortestRouteTimeout = 2500 * time.Millisecond
+
 // modelCount is the number of models. An engine holds modelsPerEngine of them at a time.
 const modelCount = 4
 
@@ -250,7 +274,7 @@
 func (c *Cluster) WithdrawKey() error {
 	c.mu.Lock()
 	withdrawn := c.keys[0]
-	added := fmt.Sprintf("key-%d", len(c.withdrawnKeys)+len(c.keys))
+	added := fmt.Sprintf("key-%d", len(c.addedKeys)+len(c.keys))
 	c.keys = append(c.keys[1:], added)
 	// Until the store has confirmed it, the key counts as added now.
 	c.addedKeys[added] = time.Now()
@@ -285,10 +309,9 @@
 func (c *Cluster) RandomKey(random *rand.Rand) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if random.IntN(10) == 0 {
-		for k := range c.withdrawnKeys {
-			return k
-		}
+	if random.IntN(10) == 0 && len(c.withdrawnKeys) > 0 {
+		withdrawn := slices.Sorted(maps.Keys(c.withdrawnKeys))
+		return withdrawn[random.IntN(len(withdrawn))]
 	}
 	return c.keys[len(c.keys)/2+random.IntN(len(c.keys)-len(c.keys)/2)]
 }
@@ -319,7 +342,10 @@
 		g.Kill()
 		g.storeProxy.Close()
 	}
-	for _, s := range c.backends {
+	for _, s := range c.endpoints() {
+		if s == nil {
+			continue
+		}
 		if s.keeper != nil {
 			s.keeper.Kill()
 			s.linkProxy.Close()
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +34,24 @@
 	modelSizeMB     = 100
 )
 
+// RunEnd is how a run of a request ended.
+type RunEnd int
+
+// Ends of runs.
+const (
+	// RunUnfinished is the end of a run that still goes on or that its endpoint's crash ended.
+	RunUnfinished RunEnd = iota
+	// RunCompleted is set once the endpoint has sent the whole answer.
+	RunCompleted
+	// RunCanceled is set if the connection was closed while the endpoint was at work.
+	RunCanceled
+)
+
+// String returns the name of the end in reports.
+func (e RunEnd) String() string {
+	return [...]string{"unfinished", "completed", "canceled"}[e]
+}
+
 // Run is one run of a request at an endpoint.
 type Run struct {
 	Endpoint  string
@@ -39,6 +60,8 @@
 	StartedAt time.Time
 	// FirstEvent is the number of the first event that the run sends, from 1.
 	FirstEvent int
+	End        RunEnd
+	endpoint   *Endpoint
 }
 
 // Recorder collects the runs of requests at all endpoints, and the violations that the
@@ -54,10 +77,17 @@
 	return &Recorder{runs: make(map[string][]Run)}
 }
 
-func (r *Recorder) recordRun(id string, run Run) {
+// recordRun records that a run of a request has started. It returns a function that records its end.
+func (r *Recorder) recordRun(id string, run Run) func(RunEnd) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	n := len(r.runs[id])
 	r.runs[id] = append(r.runs[id], run)
+	return func(end RunEnd) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.runs[id][n].End = end
+	}
 }
 
 // RecordViolation records a broken guarantee.
@@ -87,6 +117,7 @@
 	// listenAddress is where the endpoint listens. publicAddress is the address of its
 	// proxy, which its store entry names.
 	listenAddress, publicAddress string
+	proxy                        *Proxy
 	recorder                     *Recorder
 	store                        *Store
 	isEngine                     bool
@@ -100,7 +131,11 @@
 	loading       bool
 	sequence      uint64
 	drainingSince time.Time
-	stop          chan struct{}
+	// disturbedAt is when the endpoint last started or crashed.
+	disturbedAt time.Time
+	// faultEnds holds when each fault ends.
+	faultEnds [endpointFaultCount]time.Time
+	stop      chan struct{}
 }
 
 // NewEndpoint returns an endpoint that has not started.
@@ -120,7 +155,8 @@
 	}
 	e.starts++
 	e.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(e.publicAddress, ":", "-"), e.starts)
-	e.startedAtMs = time.Now().UnixMilli()
+	e.disturbedAt = time.Now()
+	e.startedAtMs = e.disturbedAt.UnixMilli()
 	e.loadedModels, e.loading, e.sequence, e.drainingSince = nil, false, 0, time.Time{}
 	e.stop = make(chan struct{})
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
@@ -135,6 +171,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	close(e.stop)
+	e.disturbedAt = time.Now()
 	err := e.server.Close()
 	return errors.CombineErrors(err, e.store.Delete(knapweedpulley.KindEndpoints, e.id))
 }
@@ -155,6 +192,14 @@
 	}
 }
 
+// UndisturbedFor returns for how long the endpoint and its proxy have been free of faults that end
+// requests.
+func (e *Endpoint) UndisturbedFor() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return min(time.Since(e.disturbedAt), e.proxy.UndisturbedFor())
+}
+
 // Drain sets the state in the store entry to draining.
 func (e *Endpoint) Drain() error {
 	e.mu.Lock()
@@ -280,6 +325,10 @@
 func (e *Endpoint) serveRequest(w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
+	// The server notices that its peer closes the connection only once the body has been read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
 	id, runs := e.admits(w, r)
 	if !runs {
 		return
@@ -288,26 +337,55 @@
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err == nil {
 		first++
 	}
-	e.recorder.recordRun(request, Run{
+	recordEnd := e.recorder.recordRun(request, Run{
 		Endpoint: id, Customer: r.Header.Get("X-Tenant"), Key: r.Header.Get("Authorization"), StartedAt: time.Now(), FirstEvent: first,
+		endpoint: e,
 	})
 	w.Header().Set("X-Server-Stamp", id+"/"+request)
+	parts, interval := []string{"answer to ", request}, plainRequestTime/2
 	if r.Header.Get("X-Model") == "" {
-		time.Sleep(plainRequestTime)
-		_, _ = fmt.Fprintf(w, "answer to %s", request) //nolint:gosec // No browser reads it.
+		w.Header().Set("Content-Length", strconv.Itoa(len("answer to "+request)))
+	} else {
+		w.Header().Set("Content-Type", "text/event-stream")
+		parts, interval = events(request, first), eventInterval
+	}
+	if err := e.answer(r.Context(), w, parts, interval); err != nil {
+		recordEnd(RunCanceled)
 		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
+	recordEnd(RunCompleted)
+}
+
+// events returns the events of a stream from number first on.
+func events(request string, first int) []string {
+	var list []string
 	for n := first; n <= eventsPerStream; n++ {
-		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, request) //nolint:gosec // No browser reads it.
-		if err := errors.CombineErrors(err, control.Flush()); err != nil {
-			return
+		list = append(list, fmt.Sprintf("id: %d\ndata: %s\n\n", n, request))
+	}
+	return list
+}
+
+// answer sends the parts of a body, each after an interval.
+func (e *Endpoint) answer(ctx context.Context, w http.ResponseWriter, parts []string, interval time.Duration) error {
+	control := http.NewResponseController(w)
+	for _, p := range parts {
+		if err := sleep(ctx, max(interval, e.faultLeft(Silent))); err != nil {
+			return err
 		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(eventInterval):
+		_, err := io.WriteString(w, p) //nolint:gosec // No browser reads it.
+		if err := errors.CombineErrors(err, control.Flush()); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
 }
--- a/faults/soak/injector.go
+++ b/faults/soak/injector.go
@@ -15,6 +15,9 @@
 type Injector struct {
 	cluster *Cluster
 	random  *rand.Rand
+	// seriesRandom draws the series of faults. The draws of random do not depend on them, so that
+	// the regression seeds keep their faults.
+	seriesRandom *rand.Rand
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -24,9 +27,10 @@
 	busySubjects map[any]bool
 }
 
-// NewInjector returns an injector that draws its faults from random.
-func NewInjector(cluster *Cluster, random *rand.Rand) *Injector {
-	return &Injector{cluster: cluster, random: random, counts: make(map[string]int), busySubjects: make(map[any]bool)}
+// NewInjector returns an injector that draws single faults from random and series of faults from
+// seriesRandom.
+func NewInjector(cluster *Cluster, random, seriesRandom *rand.Rand) *Injector {
+	return &Injector{cluster: cluster, random: random, seriesRandom: seriesRandom, counts: make(map[string]int), busySubjects: make(map[any]bool)}
 }
 
 // Counts returns the number of injected faults of each kind.
@@ -46,6 +50,7 @@
 		i.disturbProxy, i.disturbProxy, i.disturbProxy, i.resetProxy, i.disturbGateway, i.disturbGateway, i.disturbKeeper,
 		i.crashEndpoint, i.drainEndpoint, i.changeConfiguration, i.withdrawKey, i.failStore, i.compactStore,
 	}
+	i.active.Go(func() { i.runSeries(ctx) })
 	for ctx.Err() == nil {
 		// Start up to three faults at once.
 		for range 1 + i.random.IntN(3) {
--- /dev/null
+++ b/faults/soak/series.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const (
+	// minSilence and maxSilence bound how long an endpoint is silent.
+	minSilence = time.Second
+	maxSilence = 1600 * time.Millisecond
+)
+
+// runSeries injects series of faults until ctx ends. They overlap with each other and with the
+// single faults.
+func (i *Injector) runSeries(ctx context.Context) {
+	series := []func(){i.silenceEndpoints}
+	for ctx.Err() == nil {
+		series[i.seriesRandom.IntN(len(series))]()
+		time.Sleep(time.Duration(300+i.seriesRandom.IntN(900)) * time.Millisecond)
+	}
+}
+
+// seriesDuration draws a duration from minimum to below maximum.
+func (i *Injector) seriesDuration(minimum, maximum time.Duration) time.Duration {
+	return minimum + time.Duration(i.seriesRandom.Int64N(int64(maximum-minimum)))
+}
+
+// endpointFault is a fault of an endpoint as the subject of an injection.
+type endpointFault struct {
+	endpoint *Endpoint
+	fault    EndpointFault
+}
+
+func (i *Injector) injectAt(s *Backend, f EndpointFault, d time.Duration) {
+	i.inject("endpoint "+f.String(), endpointFault{s.Endpoint, f}, func() error {
+		s.Inject(f, d)
+		time.Sleep(d)
+		return nil
+	})
+}
+
+// silenceEndpoints silences one or two endpoints and changes the configuration meanwhile.
+func (i *Injector) silenceEndpoints() {
+	endpoints := i.cluster.endpoints()
+	for range 1 + i.seriesRandom.IntN(2) {
+		i.injectAt(endpoints[i.seriesRandom.IntN(len(endpoints))], Silent, i.seriesDuration(minSilence, maxSilence))
+	}
+	pause := i.seriesDuration(0, maxSilence)
+	change := []func() error{i.cluster.WriteConfiguration, i.cluster.WithdrawKey}[i.seriesRandom.IntN(2)]
+	i.inject("configuration beside silence", fmt.Sprint("series ", i.seriesRandom.Uint64()), func() error {
+		time.Sleep(pause)
+		return change()
+	})
+}
--- a/faults/soak/soak_test.go
+++ b/faults/soak/soak_test.go
@@ -28,6 +28,7 @@
 	logsVariable = "KNAPWEEDPULLEY_SOAK_LOGS"
 
 	callerCount   = 12
+	seriesStream  = 1 << 32
 	shortDuration = 5 * time.Second
 	longDuration  = 20 * time.Second
 	recoveryPause = 7 * time.Second
@@ -79,7 +80,7 @@
 	for n := range callerCount {
 		group.Go(func() { calls.Run(ctx, n, seed) })
 	}
-	injector := soak.NewInjector(cluster, random)
+	injector := soak.NewInjector(cluster, random, rand.New(rand.NewPCG(seed, seriesStream)))
 	faults, stop := context.WithTimeout(ctx, duration)
 	defer stop()
 	injector.Run(faults)
