End answers with their connection and break answers off in the soak

Endpoints send answers, streams too, with neither a length nor chunks, and break some answers off by an orderly close or a reset, streams always within an event. The soak now also checks that an answer that was cut is the start of the right one.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -49,9 +49,10 @@
 	}
 }
 
-// checkAnswer checks that a complete answer is the one to this request.
+// checkAnswer checks that an answer is the one to this request, and that an answer that was cut is
+// the start of it and does not look complete.
 func checkAnswer(cluster *Cluster, o Outcome, runs []Run) {
-	if o.Status != http.StatusOK || !o.Complete {
+	if o.Status != http.StatusOK {
 		return
 	}
 	if !strings.HasSuffix(o.Stamp, "/"+o.ID) || len(runs) == 0 {
@@ -62,7 +63,7 @@
 	if o.Kind == Stream || o.Kind == Once {
 		want = expectedStream(o.ID)
 	}
-	if o.Body != want {
+	if (o.Complete && o.Body != want) || !strings.HasPrefix(want, o.Body) {
 		cluster.recorder.RecordViolation("%s request %s was answered with wrong body %q", o.Kind, o.ID, o.Body)
 	}
 }
@@ -105,7 +106,7 @@
 		return
 	}
 	for _, r := range runs {
-		if r.End != RunUnfinished {
+		if r.End == RunCompleted || r.End == RunCanceled {
 			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s",
 				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End)
 		}
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -45,11 +45,13 @@
 	RunCompleted
 	// RunCanceled is set if the connection was closed while the endpoint was at work.
 	RunCanceled
+	// RunBroken is set if the endpoint broke the answer off.
+	RunBroken
 )
 
 // String returns the name of the end in reports.
 func (e RunEnd) String() string {
-	return [...]string{"unfinished", "completed", "canceled"}[e]
+	return [...]string{"unfinished", "completed", "canceled", "broken off"}[e]
 }
 
 // Run is one run of a request at an endpoint.
@@ -133,9 +135,10 @@
 	drainingSince time.Time
 	// disturbedAt is when the endpoint last started or crashed.
 	disturbedAt time.Time
-	// faultEnds holds when each fault ends.
-	faultEnds [endpointFaultCount]time.Time
-	stop      chan struct{}
+	// faultEnds holds when each fault ends, faultSeeds the seed of its random choices.
+	faultEnds  [endpointFaultCount]time.Time
+	faultSeeds [endpointFaultCount]uint64
+	stop       chan struct{}
 }
 
 // NewEndpoint returns an endpoint that has not started.
@@ -159,7 +162,7 @@
 	e.startedAtMs = e.disturbedAt.UnixMilli()
 	e.loadedModels, e.loading, e.sequence, e.drainingSince = nil, false, 0, time.Time{}
 	e.stop = make(chan struct{})
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnContext: withConnection}
 	go func(s *http.Server) { _ = s.Serve(listener) }(e.server)
 	go e.sendHeartbeats(e.id, e.stop)
 	return nil
@@ -342,17 +345,36 @@
 		endpoint: e,
 	})
 	w.Header().Set("X-Server-Stamp", id+"/"+request)
+	isStream := r.Header.Get("X-Model") != ""
 	parts, interval := []string{"answer to ", request}, plainRequestTime/2
-	if r.Header.Get("X-Model") == "" {
-		w.Header().Set("Content-Length", strconv.Itoa(len("answer to "+request)))
-	} else {
+	if isStream {
 		w.Header().Set("Content-Type", "text/event-stream")
 		parts, interval = events(request, first), eventInterval
 	}
+	unframed := e.chooses(Unframed, request)
+	switch {
+	case unframed:
+		// The server then ends the answer by closing the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	case !isStream:
+		w.Header().Set("Content-Length", strconv.Itoa(len("answer to "+request))) //nolint:gosec // Only one of the two is set.
+	}
+	broken := e.chooses(BrokenOff, request)
+	if broken {
+		parts = e.breakOff(parts, request)
+	}
 	if err := e.answer(r.Context(), w, parts, interval); err != nil {
 		recordEnd(RunCanceled)
 		return
 	}
+	if broken {
+		recordEnd(RunBroken)
+		// Without a length, only a reset shows that an answer other than a stream is incomplete.
+		if (unframed && !isStream) || e.choices(BrokenOff, request, "reset").IntN(2) == 0 {
+			setReset(r.Context())
+		}
+		panic(http.ErrAbortHandler)
+	}
 	recordEnd(RunCompleted)
 }
 
--- a/faults/soak/series.go
+++ b/faults/soak/series.go
@@ -15,7 +15,7 @@
 // runSeries injects series of faults until ctx ends. They overlap with each other and with the
 // single faults.
 func (i *Injector) runSeries(ctx context.Context) {
-	series := []func(){i.silenceEndpoints}
+	series := []func(){i.silenceEndpoints, i.endAnswersWithConnection}
 	for ctx.Err() == nil {
 		series[i.seriesRandom.IntN(len(series))]()
 		time.Sleep(time.Duration(300+i.seriesRandom.IntN(900)) * time.Millisecond)
@@ -34,8 +34,9 @@
 }
 
 func (i *Injector) injectAt(s *Backend, f EndpointFault, d time.Duration) {
+	seed := i.seriesRandom.Uint64()
 	i.inject("endpoint "+f.String(), endpointFault{s.Endpoint, f}, func() error {
-		s.Inject(f, d)
+		s.Inject(f, d, seed)
 		time.Sleep(d)
 		return nil
 	})
@@ -54,3 +55,12 @@
 		return change()
 	})
 }
+
+// endAnswersWithConnection makes an endpoint send answers that end with their connection, and one
+// endpoint break answers off.
+func (i *Injector) endAnswersWithConnection() {
+	endpoints := i.cluster.endpoints()
+	unframed, broken := endpoints[i.seriesRandom.IntN(len(endpoints))], endpoints[i.seriesRandom.IntN(len(endpoints))]
+	i.injectAt(unframed, Unframed, i.seriesDuration(time.Second, 3*time.Second))
+	i.injectAt([]*Backend{unframed, broken}[i.seriesRandom.IntN(2)], BrokenOff, i.seriesDuration(minFaultDuration, time.Second))
+}
