Restart and signal processes in overlapping series in the soak

Gateways or keepers are terminated one after another without waiting for the one before, while the configuration changes and processes get SIGHUP; a process that shuts down is paused, resumed and terminated once more. Before, a process got one signal at a time. The soak now also fails if a process ends by itself.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -21,6 +21,11 @@
 
 // Check records a violation for each guarantee that an outcome breaks.
 func Check(cluster *Cluster, outcomes []Outcome) {
+	for _, p := range cluster.processes() {
+		if n := p.OwnEnds(); n > 0 {
+			cluster.recorder.RecordViolation("%s ended %d times by itself", p.name, n)
+		}
+	}
 	for _, o := range outcomes {
 		runs := cluster.recorder.Runs(o.ID)
 		checkRuns(cluster, o, runs)
--- a/faults/soak/cluster.go
+++ b/faults/soak/cluster.go
@@ -157,7 +157,19 @@
 	return errors.CombineErrors(s.Start(), s.keeper.Start())
 }
 
-// endpoints returns the endpoints of all services.
+// processes returns the gateways and keepers.
+func (c *Cluster) processes() []*Process {
+	var list []*Process
+	for _, g := range c.gateways {
+		list = append(list, g.Process)
+	}
+	for _, s := range c.backends[:engineCount] {
+		list = append(list, s.keeper)
+	}
+	return list
+}
+
+// endpoints returns the endpoints that run all the time.
 func (c *Cluster) endpoints() []*Backend {
 	return append(slices.Clone(c.backends), c.spare)
 }
--- a/faults/soak/injector.go
+++ b/faults/soak/injector.go
@@ -151,20 +151,23 @@
 		})
 	default:
 		i.inject(role+" stopped", p, func() error {
-			if err := p.Signal(syscall.SIGTERM); err != nil {
-				return err
-			}
-			select {
-			case <-p.Ended():
-			case <-time.After(gracePeriod):
-				i.cluster.recorder.RecordViolation("%s is still running %s after SIGTERM", p.name, gracePeriod)
-				p.Kill()
-			}
-			return p.Start()
+			return i.restart(p, func() error { return nil })
 		})
 	}
 }
 
+// restart terminates a process, calls meanwhile, and starts the process again after its end.
+func (i *Injector) restart(p *Process, meanwhile func() error) error {
+	err := errors.CombineErrors(p.Signal(syscall.SIGTERM), meanwhile())
+	select {
+	case <-p.Ended():
+	case <-time.After(gracePeriod):
+		i.cluster.recorder.RecordViolation("%s is still running %s after SIGTERM", p.name, gracePeriod)
+		p.Kill()
+	}
+	return errors.CombineErrors(err, p.Start())
+}
+
 func (i *Injector) crashEndpoint() {
 	s := i.cluster.backends[i.random.IntN(len(i.cluster.backends))]
 	d := i.randomDuration(2500 * time.Millisecond)
--- a/faults/soak/process.go
+++ b/faults/soak/process.go
@@ -26,6 +26,10 @@
 	disturbedAt time.Time
 	// unavailable is set while the soak keeps the process stopped or paused.
 	unavailable bool
+	// endExpected is set once the soak has ended the current run of the process.
+	endExpected bool
+	// ownEnds counts the runs that ended by themselves.
+	ownEnds int
 }
 
 // NewProcess writes the settings file of a process and returns the process, which has
@@ -62,23 +66,26 @@
 		// The exit status is ignored: the soak kills processes.
 		_ = c.Wait()
 		_ = log.Close()
+		p.mu.Lock()
+		if !p.endExpected {
+			p.ownEnds++
+		}
+		p.mu.Unlock()
 		close(ended)
 	}()
-	p.command, p.ended, p.disturbedAt, p.unavailable = c, ended, time.Now(), false
+	p.command, p.ended, p.disturbedAt, p.unavailable, p.endExpected = c, ended, time.Now(), false, false
 	return nil
 }
 
-// Signal sends a signal to the running process. After any signal but SIGCONT, the process
-// counts as unavailable until it is resumed or started again.
+// Signal sends a signal to the running process. A paused process counts as unavailable until it is
+// resumed, a stopped or killed one until it is started again. SIGHUP does not disturb a process.
 func (p *Process) Signal(s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.disturbedAt = time.Now()
-	switch s {
-	case syscall.SIGCONT:
-		p.unavailable = false
-	default:
-		p.unavailable = true
+	if s != syscall.SIGHUP {
+		p.endExpected = p.endExpected || s == syscall.SIGTERM || s == syscall.SIGKILL
+		p.unavailable = p.endExpected || s == syscall.SIGSTOP
+		p.disturbedAt = time.Now()
 	}
 	err := p.command.Process.Signal(s)
 	if errors.Is(err, os.ErrProcessDone) {
@@ -87,6 +94,13 @@
 	return err
 }
 
+// OwnEnds returns how many runs of the process ended by themselves.
+func (p *Process) OwnEnds() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ownEnds
+}
+
 // Ended returns a channel that is closed when the current run of the process has ended.
 func (p *Process) Ended() <-chan struct{} {
 	p.mu.Lock()
@@ -109,6 +123,7 @@
 func (p *Process) Kill() {
 	p.mu.Lock()
 	c, ended := p.command, p.ended
+	p.endExpected = true
 	p.mu.Unlock()
 	if c == nil {
 		return
--- a/faults/soak/series.go
+++ b/faults/soak/series.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -15,7 +18,7 @@
 // runSeries injects series of faults until ctx ends. They overlap with each other and with the
 // single faults.
 func (i *Injector) runSeries(ctx context.Context) {
-	series := []func(){i.silenceEndpoints, i.endAnswersWithConnection}
+	series := []func(){i.silenceEndpoints, i.endAnswersWithConnection, i.restartInSeries, i.signalInSeries}
 	for ctx.Err() == nil {
 		series[i.seriesRandom.IntN(len(series))]()
 		time.Sleep(time.Duration(300+i.seriesRandom.IntN(900)) * time.Millisecond)
@@ -64,3 +67,46 @@
 	i.injectAt(unframed, Unframed, i.seriesDuration(time.Second, 3*time.Second))
 	i.injectAt([]*Backend{unframed, broken}[i.seriesRandom.IntN(2)], BrokenOff, i.seriesDuration(minFaultDuration, time.Second))
 }
+
+// restartInSeries terminates the gateways or the keepers one after another, without waiting for the
+// one before, and changes the configuration and reloads processes meanwhile.
+func (i *Injector) restartInSeries() {
+	list := i.cluster.processes()
+	list = [][]*Process{list[:gatewayCount], list[gatewayCount:]}[i.seriesRandom.IntN(2)]
+	var pause time.Duration
+	for _, p := range list {
+		delay := pause
+		i.inject("restart in series", p, func() error {
+			time.Sleep(delay)
+			return i.restart(p, i.cluster.WriteConfiguration)
+		})
+		pause += i.seriesDuration(0, time.Second)
+	}
+	for _, p := range i.cluster.processes() {
+		delay := i.seriesDuration(0, 2*time.Second)
+		i.inject("reload", fmt.Sprint("reload ", i.seriesRandom.Uint64()), func() error {
+			time.Sleep(delay)
+			// A process that is starting may not handle the signal yet.
+			if p.UndisturbedFor() < time.Second {
+				return nil
+			}
+			return p.Signal(syscall.SIGHUP)
+		})
+	}
+}
+
+// signalInSeries pauses a process while it shuts down, resumes it and terminates it once more.
+func (i *Injector) signalInSeries() {
+	list := i.cluster.processes()
+	p := list[i.seriesRandom.IntN(len(list))]
+	delay, pause := i.seriesDuration(0, 300*time.Millisecond), i.seriesDuration(minFaultDuration, 2*time.Second)
+	i.inject("signals in series", p, func() error {
+		return i.restart(p, func() error {
+			time.Sleep(delay)
+			err := p.Signal(syscall.SIGSTOP)
+			time.Sleep(pause)
+			err = errors.CombineErrors(err, p.Signal(syscall.SIGCONT))
+			return errors.CombineErrors(err, p.Signal(syscall.SIGTERM))
+		})
+	})
+}
