Deliver no orderly end after dropped bytes in the soak's proxy

The endpoint had sent it without a length and ended it with its connection; the gateway got two events, and 85 ms later the orderly end. The proxy drops bytes while it is silent or cut, but passed the end of the connection on. TCP never delivers an end before the bytes that precede it, so no network does that.

--- a/faults/soak/proxy.go
+++ b/faults/soak/proxy.go
@@ -154,19 +154,25 @@
 }
 
 // forward copies bytes in one direction, which is dropped in mode cut. It propagates an
-// orderly end as an orderly end and a reset as a reset.
+// orderly end as an orderly end and a reset as a reset, unless it dropped bytes before or
+// drops them now: TCP does not deliver an end before the bytes that precede it.
 func (p *Proxy) forward(c *proxyConnection, to, from net.Conn, cut Mode) {
 	buffer := make([]byte, 16<<10)
+	dropped := false
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && p.shouldForward(c, cut) {
+		forwards := p.shouldForward(c, cut)
+		dropped = dropped || !forwards
+		if n > 0 && forwards {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				reset(from)
 				return
 			}
 		}
 		if err != nil {
-			p.propagateEnd(to, err)
+			if !dropped {
+				p.propagateEnd(to, err)
+			}
 			return
 		}
 	}
