Leave odd entries among those of the endpoints in the soak

Another writer's entry is very deeply nested, has a number too large or a port out of range, stays for some seconds and is removed. Meanwhile an endpoint of a service of its own starts, and each gateway without faults has to use it.

--- a/faults/soak/caller.go
+++ b/faults/soak/caller.go
@@ -28,6 +28,8 @@
 	Unsafe Kind = "unsafe"
 	Stream Kind = "stream"
 	Once   Kind = "once"
+	// Late is the route to an endpoint that starts while the list of endpoints has an odd entry.
+	Late Kind = "late"
 )
 
 // Outcome is a request and its result as observed by the caller.
@@ -97,16 +99,22 @@
 	}
 	model := fmt.Sprintf("m%d", random.IntN(modelCount))
 	o.Timeout = []time.Duration{shortTimeout, longTimeout}[random.IntN(2)]
+	c.cluster.send(client, &o, model)
+	return o
+}
+
+// send sends a request and completes its outcome.
+func (c *Cluster) send(client *http.Client, o *Outcome, model string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*o.Timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.callerAddress+"/"+string(o.Kind)+"/x",
-		io.NopCloser(strings.NewReader(id)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Gateway.callerAddress+"/"+string(o.Kind)+"/x",
+		io.NopCloser(strings.NewReader(o.ID)))
 	if err != nil {
-		return o
+		return
 	}
 	r.Host = "h.example"
-	r.ContentLength = int64(len(id))
-	r.Header.Set("X-Request-Id", id)
+	r.ContentLength = int64(len(o.ID))
+	r.Header.Set("X-Request-Id", o.ID)
 	r.Header.Set("Authorization", "Bearer "+o.Key)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(o.Timeout.Milliseconds()))
 	if o.Kind == Stream || o.Kind == Once {
@@ -121,10 +129,9 @@
 		_ = answer.Body.Close()
 	}
 	o.Elapsed = time.Since(o.Sent)
-	o.UndisturbedAtEnd = c.cluster.UndisturbedFor(g)
+	o.UndisturbedAtEnd = c.UndisturbedFor(o.Gateway)
 	o.RunsUndisturbed = true
-	for _, n := range c.cluster.recorder.Runs(id) {
+	for _, n := range c.recorder.Runs(o.ID) {
 		o.RunsUndisturbed = o.RunsUndisturbed && n.endpoint.UndisturbedFor() > time.Since(n.StartedAt)
 	}
-	return o
 }
--- a/faults/soak/cluster.go
+++ b/faults/soak/cluster.go
@@ -62,6 +62,8 @@
 	backends        []*Backend
 	// spare is the only endpoint of the service spare, to which a part of the route safe may lead.
 	spare *Backend
+	// late is the only endpoint of the service late. It runs only beside an odd entry in the store.
+	late *Backend
 
 	mu            sync.Mutex
 	version       uint64
@@ -116,6 +118,12 @@
 	if c.spare, err = c.startPlainService("spare", plainServiceCount+1); err != nil {
 		return err
 	}
+	if c.late, err = c.startPlainService("late", plainServiceCount+2); err != nil {
+		return err
+	}
+	if err := c.late.Crash(); err != nil {
+		return err
+	}
 	for i := range gatewayCount {
 		if err := c.addGateway(i + 1); err != nil {
 			return err
@@ -245,6 +253,9 @@
 			{"service": "plain", "weight": 1 - weight}, {"service": "spare", "weight": weight},
 		}
 	}
+	late := route(string(Late), "safe", "late", false)
+	late["public"] = true
+	routes = append(routes, late)
 	for i := range c.version % 7 {
 		routes = append(routes, route(fmt.Sprintf("extra-%d", i), "safe", "plain", false))
 	}
@@ -259,6 +270,7 @@
 		"services": []map[string]any{
 			{"name": "plain", "maxConns": 100},
 			{"name": "spare", "maxConns": 100},
+			{"name": "late", "maxConns": 100},
 			{"name": "llm", "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "kvCapacity": 100000, "weightsMb": modelsPerEngine*modelSizeMB + 1, "adapterSlots": 2, "loadsPerS": 10,
 				"models": models,
@@ -354,7 +366,7 @@
 		g.Kill()
 		g.storeProxy.Close()
 	}
-	for _, s := range c.endpoints() {
+	for _, s := range append(c.endpoints(), c.late) {
 		if s == nil {
 			continue
 		}
--- a/faults/soak/series.go
+++ b/faults/soak/series.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedpulley/knapweedpulley"
 )
 
 const (
@@ -18,7 +22,7 @@
 // runSeries injects series of faults until ctx ends. They overlap with each other and with the
 // single faults.
 func (i *Injector) runSeries(ctx context.Context) {
-	series := []func(){i.silenceEndpoints, i.endAnswersWithConnection, i.restartInSeries, i.signalInSeries}
+	series := []func(){i.silenceEndpoints, i.endAnswersWithConnection, i.restartInSeries, i.signalInSeries, i.leaveOddEntry}
 	for ctx.Err() == nil {
 		series[i.seriesRandom.IntN(len(series))]()
 		time.Sleep(time.Duration(300+i.seriesRandom.IntN(900)) * time.Millisecond)
@@ -110,3 +114,57 @@
 		})
 	})
 }
+
+// oddEntries are entries of endpoints that another writer left, with a place for the service.
+var oddEntries = []string{
+	`{"service":%q,"address":"127.0.0.1:9","zone":"a","slots":8,"state":"ready","born":1,"models":` +
+		strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+	`{"service":%q,"address":"127.0.0.1:9","zone":"a","slots":8,"state":"ready","born":1,"models":` +
+		strings.Repeat(`{"name":`, 5000) + "1" + strings.Repeat("}", 5000) + `}`,
+	`{"service":%q,"address":"127.0.0.1:9","zone":"a","slots":1e400,"state":"ready","born":1}`,
+	`{"service":%q,"address":"127.0.0.1:9","zone":"a","slots":8,"state":"ready","born":99999999999999999999999}`,
+	`{"service":%q,"address":"127.0.0.1:70000","zone":"a","slots":8,"state":"ready","born":1}`,
+	`{"service":%q,"address":"127.0.0.1:-1","zone":"a","slots":8,"state":"ready","born":1}`,
+}
+
+// leaveOddEntry leaves an odd entry among those of the endpoints for some seconds. Meanwhile the
+// endpoint of the service late starts, and each gateway has to use it.
+func (i *Injector) leaveOddEntry() {
+	n := i.seriesRandom.IntN(len(oddEntries))
+	entry := fmt.Sprintf(oddEntries[n], []string{"plain", "llm"}[i.seriesRandom.IntN(2)])
+	pause, id := i.seriesDuration(0, time.Second), fmt.Sprint("late-", i.seriesRandom.Uint64())
+	i.inject(fmt.Sprint("odd entry ", n), i.cluster.late, func() error {
+		if err := i.cluster.store.PutRaw(knapweedpulley.KindEndpoints, "odd", []byte(entry)); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+		err := i.cluster.late.Start()
+		time.Sleep(configurationLimit)
+		end := time.Now().Add(recoveryTime)
+		for _, g := range i.cluster.gateways {
+			for i.cluster.UndisturbedFor(g) <= recoveryTime && time.Now().Before(end) {
+				time.Sleep(100 * time.Millisecond)
+			}
+			i.checkFollows(g, fmt.Sprint(id, "-", g.name), n)
+		}
+		err = errors.CombineErrors(err, i.cluster.late.Crash())
+		return errors.CombineErrors(err, i.cluster.store.Delete(knapweedpulley.KindEndpoints, "odd"))
+	})
+}
+
+// checkFollows checks that a gateway uses the endpoint of the service late.
+func (i *Injector) checkFollows(g *Gateway, id string, entry int) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	o := Outcome{ID: id, Kind: Late, Gateway: g, Timeout: shortTimeout, Sent: time.Now()}
+	i.cluster.send(client, &o, "")
+	if o.UndisturbedAtEnd <= o.Elapsed+recoveryTime {
+		return
+	}
+	i.mu.Lock()
+	i.counts["checks beside odd entries"]++
+	i.mu.Unlock()
+	if o.Status != http.StatusOK || !o.Complete {
+		i.cluster.recorder.RecordViolation("%s does not follow the list of endpoints beside odd entry %d: request %s got status %d",
+			g.name, entry, id, o.Status)
+	}
+}
--- a/faults/soak/store.go
+++ b/faults/soak/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,6 +40,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode an object")
 	}
+	return s.PutRaw(kind, name, data)
+}
+
+// PutRaw creates or overwrites an object with a value that need not be valid.
+func (s *Store) PutRaw(kind knapweedpulley.Kind, name string, data []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := string(kind) + "/" + name
@@ -62,20 +69,10 @@
 	return err
 }
 
-// item is an object in the JSON encoding of the platform.
-type item struct {
-	Metadata itemMetadata    `json:"metadata"`
-	Spec     json.RawMessage `json:"spec"`
-}
-
-// itemMetadata is the name and revision of an object.
-type itemMetadata struct {
-	Name     string                  `json:"name"`
-	Revision knapweedpulley.Revision `json:"revision"`
-}
-
-func newItem(o knapweedpulley.Object) item {
-	return item{Metadata: itemMetadata{Name: o.Name, Revision: o.Revision}, Spec: o.Value}
+// encodeItem returns an object in the JSON encoding of the platform. It copies the value as it is,
+// because package json rejects deeply nested values.
+func encodeItem(o knapweedpulley.Object) string {
+	return fmt.Sprintf(`{"metadata":{"name":%q,"revision":%d},"spec":%s}`, o.Name, o.Revision, o.Value)
 }
 
 // ServeHTTP implements http.Handler. It serves lists and watches.
@@ -97,11 +94,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	items := make([]item, 0, len(l.Objects))
+	items := make([]string, 0, len(l.Objects))
 	for _, o := range l.Objects {
-		items = append(items, newItem(o))
+		items = append(items, encodeItem(o))
 	}
-	writeJSON(w, map[string]any{"items": items, "hasMore": false, "currentRev": l.Revision})
+	writeText(w, fmt.Sprintf(`{"items":[%s],"hasMore":false,"currentRev":%d}`, strings.Join(items, ","), l.Revision))
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind knapweedpulley.Kind, after string) {
@@ -124,24 +121,28 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	type event struct {
-		Object  item `json:"object"`
-		Deleted bool `json:"deleted"`
-	}
-	events := make([]event, 0, len(changes))
+	list := make([]string, 0, len(changes))
 	for _, c := range changes {
-		events = append(events, event{Object: newItem(c.Object), Deleted: c.Deleted})
+		if c.Deleted && len(c.Value) == 0 {
+			c.Value = []byte("null")
+		}
+		list = append(list, fmt.Sprintf(`{"object":%s,"deleted":%t}`, encodeItem(c.Object), c.Deleted))
 	}
-	writeJSON(w, map[string]any{"events": events, "currentRev": next})
+	writeText(w, fmt.Sprintf(`{"events":[%s],"currentRev":%d}`, strings.Join(list, ","), next))
 }
 
 // writeJSON answers with v as JSON. It ignores write errors: the client has disconnected.
 func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
 	data, err := json.Marshal(v)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	_, _ = w.Write(data)
+	writeText(w, string(data))
+}
+
+// writeText answers with text in JSON.
+func writeText(w http.ResponseWriter, text string) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, text) //nolint:gosec // No browser reads it.
 }
