Fail resumed streams in the soak and check stamps of failures

One engine breaks streams off, and the others answer the requests to resume them with 500, 404 or a refusal. The soak already compares the start of each answer with the right one, so that it finds the error's text in a stream; it now also fails if a failure bears an endpoint's stamp that goes with another status.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -30,6 +31,7 @@
 		runs := cluster.recorder.Runs(o.ID)
 		checkRuns(cluster, o, runs)
 		checkAnswer(cluster, o, runs)
+		checkStamp(cluster, o, runs)
 		checkTimeLimits(cluster, o, runs)
 		checkNotCut(cluster, o, runs)
 	}
@@ -54,6 +56,15 @@
 	}
 }
 
+// checkStamp checks that a failure with an endpoint's stamp has the status that the endpoint gave.
+func checkStamp(cluster *Cluster, o Outcome, runs []Run) {
+	given := slices.ContainsFunc(runs, func(r Run) bool { return r.Status == o.Status && r.Endpoint+"/"+o.ID == o.Stamp })
+	if o.Stamp != "" && o.Status != http.StatusOK && !given {
+		cluster.recorder.RecordViolation("%s request %s was answered with status %d and stamp %q, which no endpoint gave",
+			o.Kind, o.ID, o.Status, o.Stamp)
+	}
+}
+
 // checkAnswer checks that an answer is the one to this request, and that an answer that was cut is
 // the start of it and does not look complete.
 func checkAnswer(cluster *Cluster, o Outcome, runs []Run) {
@@ -111,7 +122,7 @@
 		return
 	}
 	for _, r := range runs {
-		if r.End == RunCompleted || r.End == RunCanceled {
+		if r.Status == http.StatusOK && (r.End == RunCompleted || r.End == RunCanceled) {
 			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s",
 				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End)
 		}
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -62,8 +62,10 @@
 	StartedAt time.Time
 	// FirstEvent is the number of the first event that the run sends, from 1.
 	FirstEvent int
-	End        RunEnd
-	endpoint   *Endpoint
+	// Status is that of the endpoint's answer.
+	Status   int
+	End      RunEnd
+	endpoint *Endpoint
 }
 
 // Recorder collects the runs of requests at all endpoints, and the violations that the
@@ -340,11 +342,31 @@
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err == nil {
 		first++
 	}
+	status := http.StatusOK
+	if first > 1 && e.faultLeft(ResumeFails) > 0 {
+		status = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusNotFound}[e.choices(ResumeFails, request, "").IntN(3)]
+	}
+	if status == http.StatusServiceUnavailable {
+		refuse(w)
+		return
+	}
 	recordEnd := e.recorder.recordRun(request, Run{
 		Endpoint: id, Customer: r.Header.Get("X-Tenant"), Key: r.Header.Get("Authorization"), StartedAt: time.Now(), FirstEvent: first,
-		endpoint: e,
+		Status: status, endpoint: e,
 	})
 	w.Header().Set("X-Server-Stamp", id+"/"+request)
+	if status != http.StatusOK {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, errorText)
+		recordEnd(RunCompleted)
+		return
+	}
+	e.serveAnswer(w, r, first, recordEnd)
+}
+
+// serveAnswer sends the answer to a request, or that of a stream from event number first on.
+func (e *Endpoint) serveAnswer(w http.ResponseWriter, r *http.Request, first int, recordEnd func(RunEnd)) {
+	request := r.Header.Get("X-Request-Id")
 	isStream := r.Header.Get("X-Model") != ""
 	parts, interval := []string{"answer to ", request}, plainRequestTime/2
 	if isStream {
--- a/faults/soak/endpointfault.go
+++ b/faults/soak/endpointfault.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -20,12 +22,14 @@
 	// BrokenOff makes an endpoint close or reset some connections in the middle of an answer, in
 	// streams within an event.
 	BrokenOff
+	// ResumeFails makes an engine answer requests to resume a stream with an error.
+	ResumeFails
 	endpointFaultCount
 )
 
 // String returns the name of the fault in reports.
 func (f EndpointFault) String() string {
-	return [...]string{"silent", "unframed", "breaks off"}[f]
+	return [...]string{"silent", "unframed", "breaks off", "fails to resume"}[f]
 }
 
 // Inject begins a fault that ends after d. Seed determines its random choices.
@@ -56,6 +60,16 @@
 	return e.faultLeft(f) > 0 && e.choices(f, request, "").IntN(2) == 0
 }
 
+// errorText is the body of an endpoint's errors.
+const errorText = "the endpoint failed\n"
+
+// refuse answers that the endpoint does not run the request.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, errorText)
+}
+
 // breakOff returns the parts of a body up to the middle of one of them.
 func (e *Endpoint) breakOff(parts []string, request string) []string {
 	if len(parts) == 0 {
--- a/faults/soak/series.go
+++ b/faults/soak/series.go
@@ -22,7 +22,10 @@
 // runSeries injects series of faults until ctx ends. They overlap with each other and with the
 // single faults.
 func (i *Injector) runSeries(ctx context.Context) {
-	series := []func(){i.silenceEndpoints, i.endAnswersWithConnection, i.restartInSeries, i.signalInSeries, i.leaveOddEntry}
+	series := []func(){
+		i.silenceEndpoints, i.endAnswersWithConnection, i.restartInSeries, i.signalInSeries, i.leaveOddEntry,
+		i.failResumedStreams,
+	}
 	for ctx.Err() == nil {
 		series[i.seriesRandom.IntN(len(series))]()
 		time.Sleep(time.Duration(300+i.seriesRandom.IntN(900)) * time.Millisecond)
@@ -168,3 +171,15 @@
 			g.name, entry, id, o.Status)
 	}
 }
+
+// failResumedStreams makes one engine break streams off, and the others fail to resume them.
+func (i *Injector) failResumedStreams() {
+	broken, d := i.seriesRandom.IntN(engineCount), i.seriesDuration(time.Second, 2*time.Second)
+	for n, s := range i.cluster.backends[:engineCount] {
+		f := ResumeFails
+		if n == broken {
+			f = BrokenOff
+		}
+		i.injectAt(s, f, d)
+	}
+}
