Repeat refusals on kept connections in the soak

An endpoint refuses a request with X-Not-Run and writes the refusal once more: at once, while the connection is idle, or just after the next request arrived. The check that a request that was answered 503 or 429 has not run and does not run later now covers all kinds of requests, and 408 and 421.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -45,8 +45,10 @@
 	if len(runs) > 2 {
 		cluster.recorder.RecordViolation("%s request %s ran %d times, want at most 2 runs", o.Kind, o.ID, len(runs))
 	}
-	refused := o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests
-	if refused && len(runs) > 0 && o.Kind != Safe && o.Kind != Stream {
+	refusals := []int{
+		http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+	}
+	if slices.Contains(refusals, o.Status) && len(runs) > 0 {
 		cluster.recorder.RecordViolation("%s request %s was refused with status %d but ran", o.Kind, o.ID, o.Status)
 	}
 	for _, r := range runs {
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -73,12 +73,13 @@
 type Recorder struct {
 	mu         sync.Mutex
 	runs       map[string][]Run
+	refused    map[string]bool
 	violations []string
 }
 
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
-	return &Recorder{runs: make(map[string][]Run)}
+	return &Recorder{runs: make(map[string][]Run), refused: make(map[string]bool)}
 }
 
 // recordRun records that a run of a request has started. It returns a function that records its end.
@@ -94,6 +95,15 @@
 	}
 }
 
+// recordRefusal records that an endpoint refuses a request, and reports whether it is the first time.
+func (r *Recorder) recordRefusal(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := !r.refused[id]
+	r.refused[id] = true
+	return first
+}
+
 // RecordViolation records a broken guarantee.
 func (r *Recorder) RecordViolation(format string, args ...any) {
 	r.mu.Lock()
@@ -334,10 +344,18 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		c.beginRequest()
+	}
 	id, runs := e.admits(w, r)
 	if !runs {
 		return
 	}
+	if e.chooses(RepeatedRefusal, request) && e.recorder.recordRefusal(request) {
+		// The peer may have closed the connection.
+		_ = e.repeatRefusal(w, r)
+		return
+	}
 	first := 1
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err == nil {
 		first++
--- a/faults/soak/endpointfault.go
+++ b/faults/soak/endpointfault.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 )
 
@@ -24,12 +27,14 @@
 	BrokenOff
 	// ResumeFails makes an engine answer requests to resume a stream with an error.
 	ResumeFails
+	// RepeatedRefusal makes an endpoint refuse some requests and write the refusal once more.
+	RepeatedRefusal
 	endpointFaultCount
 )
 
 // String returns the name of the fault in reports.
 func (f EndpointFault) String() string {
-	return [...]string{"silent", "unframed", "breaks off", "fails to resume"}[f]
+	return [...]string{"silent", "unframed", "breaks off", "fails to resume", "repeats refusals"}[f]
 }
 
 // Inject begins a fault that ends after d. Seed determines its random choices.
@@ -80,16 +85,73 @@
 	return append(parts[:last:last], half)
 }
 
+// repeatRefusal refuses a request and writes the refusal once more: at once, while the connection is
+// idle, or when the next request arrives on it.
+func (e *Endpoint) repeatRefusal(w http.ResponseWriter, r *http.Request) error {
+	request := r.Header.Get("X-Request-Id")
+	w.Header().Set("Content-Length", strconv.Itoa(len(errorText)))
+	refuse(w)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return err
+	}
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: %d\r\n\r\n%s",
+		request, len(errorText), errorText)
+	c, _ := r.Context().Value(connectionKey{}).(*connection)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	random := e.choices(RepeatedRefusal, request, "time")
+	switch random.IntN(3) {
+	case 0:
+		_, err := io.WriteString(c.conn, refusal)
+		return err
+	case 1:
+		c.timer = time.AfterFunc(time.Duration(20+random.IntN(300))*time.Millisecond, c.writePending)
+	}
+	c.pending = refusal
+	return nil
+}
+
+// connection is a connection to an endpoint.
+type connection struct {
+	conn net.Conn
+
+	mu sync.Mutex
+	// pending is a refusal to write once more. Timer, if set, writes it on the idle connection.
+	pending string
+	timer   *time.Timer
+}
+
+// beginRequest writes the pending refusal at the arrival of a request.
+func (c *connection) beginRequest() {
+	c.mu.Lock()
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.mu.Unlock()
+	c.writePending()
+}
+
+func (c *connection) writePending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending != "" {
+		// The connection may be closed.
+		_, _ = io.WriteString(c.conn, c.pending)
+	}
+	c.pending = ""
+}
+
 // connectionKey is the key of the connection in the context of a request.
 type connectionKey struct{}
 
 func withConnection(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, c)
+	return context.WithValue(ctx, connectionKey{}, &connection{conn: c})
 }
 
 // setReset makes the close of the connection of a request a reset.
 func setReset(ctx context.Context) {
-	if tcp, ok := ctx.Value(connectionKey{}).(*net.TCPConn); ok {
+	c, _ := ctx.Value(connectionKey{}).(*connection)
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
--- a/faults/soak/series.go
+++ b/faults/soak/series.go
@@ -24,7 +24,7 @@
 func (i *Injector) runSeries(ctx context.Context) {
 	series := []func(){
 		i.silenceEndpoints, i.endAnswersWithConnection, i.restartInSeries, i.signalInSeries, i.leaveOddEntry,
-		i.failResumedStreams,
+		i.failResumedStreams, i.repeatRefusals,
 	}
 	for ctx.Err() == nil {
 		series[i.seriesRandom.IntN(len(series))]()
@@ -183,3 +183,9 @@
 		i.injectAt(s, f, d)
 	}
 }
+
+// repeatRefusals makes an endpoint write refusals once more.
+func (i *Injector) repeatRefusals() {
+	endpoints := i.cluster.endpoints()
+	i.injectAt(endpoints[i.seriesRandom.IntN(len(endpoints))], RepeatedRefusal, i.seriesDuration(time.Second, 3*time.Second))
+}
