--- a/faults/soak/doc.go
+++ b/faults/soak/doc.go
@@ -8,6 +8,11 @@
 // seed determines the random choices. The soak signals only processes that it started,
 // by their process ids.
 //
+// Series of faults overlap with these and with each other. In them, endpoints fall silent
+// and go on, end answers with their connection, break answers off, fail to resume streams
+// and repeat refusals; odd entries are left in the store; and processes are restarted and
+// signaled while the configuration changes.
+//
 // # Usage
 //
 //	go test ./faults/soak                                        # seed 1 and the regression seeds, short runs
