Reset the connections of a crashing endpoint in the soak

The soak closed the connections in order, which is how such a stream ends when it is complete. A crash now resets them.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -125,8 +125,8 @@
 	}
 	for _, r := range runs {
 		if r.Status == http.StatusOK && (r.End == RunCompleted || r.End == RunCanceled) {
-			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s",
-				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End)
+			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s (%d runs)",
+				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End, len(runs))
 		}
 	}
 }
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -150,7 +150,9 @@
 	// faultEnds holds when each fault ends, faultSeeds the seed of its random choices.
 	faultEnds  [endpointFaultCount]time.Time
 	faultSeeds [endpointFaultCount]uint64
-	stop       chan struct{}
+	// connections are the open connections.
+	connections sync.Map
+	stop        chan struct{}
 }
 
 // NewEndpoint returns an endpoint that has not started.
@@ -174,23 +176,45 @@
 	e.startedAtMs = e.disturbedAt.UnixMilli()
 	e.loadedModels, e.loading, e.sequence, e.drainingSince = nil, false, 0, time.Time{}
 	e.stop = make(chan struct{})
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnContext: withConnection}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnContext: withConnection, ConnState: e.trackConnection}
 	go func(s *http.Server) { _ = s.Serve(listener) }(e.server)
 	go e.sendHeartbeats(e.id, e.stop)
 	return nil
 }
 
-// Crash closes the server and its connections and deletes the store entry of the
+// Crash closes the server, resets its connections and deletes the store entry of the
 // instance.
 func (e *Endpoint) Crash() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	close(e.stop)
 	e.disturbedAt = time.Now()
-	err := e.server.Close()
+	err := e.closeServer()
 	return errors.CombineErrors(err, e.store.Delete(knapweedpulley.KindEndpoints, e.id))
 }
 
+// trackConnection records the open connections.
+func (e *Endpoint) trackConnection(c net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		e.connections.Store(c, nil)
+	case http.StateClosed, http.StateHijacked:
+		e.connections.Delete(c)
+	}
+}
+
+// closeServer closes the server and resets its connections. An orderly end would complete an answer
+// without a length.
+func (e *Endpoint) closeServer() error {
+	e.connections.Range(func(c, _ any) bool {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return true
+	})
+	return e.server.Close()
+}
+
 // Close ends the endpoint in any state, also if it never started or has crashed.
 func (e *Endpoint) Close() {
 	e.mu.Lock()
