Send prompts with a part that crashes engines in the soak

One part of prompts, never the last, crashes each engine that begins an answer on it: its connections are reset, its entry leaves the store after three missed heartbeats, and it is back after 1 to 3 s with a new start and the same or a new id. Callers at any gateway send such requests, no two alike, beside sound ones with the same key and first part, during the other faults and for 8 s after them, so that gateways are in touch.

At most three requests with the part may reach engines later than 3 s after the fifth crash, through gateways that were neither signaled nor cut in the last 3 s. From 6 s after it, sound requests have to be served at least half as often as otherwise.

A crashed endpoint begins no run, and a run counts from before its admission.

--- a/faults/soak/caller.go
+++ b/faults/soak/caller.go
@@ -39,12 +39,18 @@
 	Key     string
 	Gateway *Gateway
 	Timeout time.Duration
+	// Deadly is set if the prompt has a part that crashes engines.
+	Deadly  bool
+	Prompt  string
 	Sent    time.Time
 	Elapsed time.Duration
 	// UndisturbedAtStart is how long the gateway had been undisturbed when the request
 	// was sent, UndisturbedAtEnd when it ended.
 	UndisturbedAtStart time.Duration
 	UndisturbedAtEnd   time.Duration
+	// InTouch is set if the gateway was neither signaled nor cut from the store from recoveryTime before
+	// the request until its end.
+	InTouch bool
 	// RunsUndisturbed is set if the endpoints that ran the request were undisturbed meanwhile.
 	RunsUndisturbed bool
 	// Status is zero if there was no answer. Complete is set if the body was read to its
@@ -99,6 +105,7 @@
 	}
 	model := fmt.Sprintf("m%d", random.IntN(modelCount))
 	o.Timeout = []time.Duration{shortTimeout, longTimeout}[random.IntN(2)]
+	o.Prompt = promptParts(&o, model, c.cluster.recorder.DeadlyPart(), random)
 	c.cluster.send(client, &o, model)
 	return o
 }
@@ -120,6 +127,7 @@
 	if o.Kind == Stream || o.Kind == Once {
 		r.Header.Set("X-Model", model)
 		r.Header.Set("X-Token-Counts", "100,100")
+		r.Header.Set("X-Prompt-Prefix", o.Prompt)
 	}
 	answer, err := client.Do(r)
 	if err == nil {
@@ -130,6 +138,7 @@
 	}
 	o.Elapsed = time.Since(o.Sent)
 	o.UndisturbedAtEnd = c.UndisturbedFor(o.Gateway)
+	o.InTouch = min(o.Gateway.UndisturbedFor(), o.Gateway.storeProxy.UndisturbedFor()) >= o.Elapsed+recoveryTime
 	o.RunsUndisturbed = true
 	for _, n := range c.recorder.Runs(o.ID) {
 		o.RunsUndisturbed = o.RunsUndisturbed && n.endpoint.UndisturbedFor() > time.Since(n.StartedAt)
--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -27,6 +27,7 @@
 			cluster.recorder.RecordViolation("%s ended %d times by itself", p.name, n)
 		}
 	}
+	checkDeadlyPart(cluster, outcomes)
 	for _, o := range outcomes {
 		runs := cluster.recorder.Runs(o.ID)
 		checkRuns(cluster, o, runs)
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -74,6 +74,7 @@
 	mu         sync.Mutex
 	runs       map[string][]Run
 	refused    map[string]bool
+	deadly     deadlyPart
 	violations []string
 }
 
@@ -145,6 +146,8 @@
 	loading       bool
 	sequence      uint64
 	drainingSince time.Time
+	running       bool
+	closed        bool
 	// disturbedAt is when the endpoint last started or crashed.
 	disturbedAt time.Time
 	// faultEnds holds when each fault ends, faultSeeds the seed of its random choices.
@@ -166,12 +169,24 @@
 func (e *Endpoint) Start() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.start(false)
+}
+
+// start starts a new instance, with the id of the one before if keepID is set. It does nothing if the
+// endpoint is running.
+func (e *Endpoint) start(keepID bool) error {
+	if e.running {
+		return nil
+	}
 	listener, err := net.Listen("tcp", e.listenAddress)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", e.listenAddress)
 	}
-	e.starts++
-	e.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(e.publicAddress, ":", "-"), e.starts)
+	if !keepID {
+		e.starts++
+		e.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(e.publicAddress, ":", "-"), e.starts)
+	}
+	e.running = true
 	e.disturbedAt = time.Now()
 	e.startedAtMs = e.disturbedAt.UnixMilli()
 	e.loadedModels, e.loading, e.sequence, e.drainingSince = nil, false, 0, time.Time{}
@@ -187,10 +202,18 @@
 func (e *Endpoint) Crash() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return errors.CombineErrors(e.end(), e.store.Delete(knapweedpulley.KindEndpoints, e.id))
+}
+
+// end closes the server and its connections. It does nothing if the endpoint is not running.
+func (e *Endpoint) end() error {
+	if !e.running {
+		return nil
+	}
+	e.running = false
 	close(e.stop)
 	e.disturbedAt = time.Now()
-	err := e.closeServer()
-	return errors.CombineErrors(err, e.store.Delete(knapweedpulley.KindEndpoints, e.id))
+	return e.closeServer()
 }
 
 // trackConnection records the open connections.
@@ -219,16 +242,9 @@
 func (e *Endpoint) Close() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.server == nil {
-		return
-	}
 	// The whole cluster shuts down, so an error here doesn't matter.
-	_ = e.server.Close()
-	select {
-	case <-e.stop:
-	default:
-		close(e.stop)
-	}
+	_ = e.end()
+	e.closed = true
 }
 
 // UndisturbedFor returns for how long the endpoint and its proxy have been free of faults that end
@@ -243,6 +259,9 @@
 func (e *Endpoint) Drain() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.running {
+		return nil
+	}
 	e.drainingSince = time.Now()
 	return e.register()
 }
@@ -250,7 +269,7 @@
 func (e *Endpoint) sendHeartbeats(id string, stop <-chan struct{}) {
 	for {
 		e.mu.Lock()
-		if e.id == id {
+		if e.id == id && e.running {
 			if err := e.register(); err != nil {
 				e.recorder.RecordViolation("the fake store rejected the entry of an endpoint: %v", err)
 			}
@@ -352,6 +371,9 @@
 func (e *Endpoint) admits(w http.ResponseWriter, r *http.Request) (string, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.running {
+		panic(http.ErrAbortHandler)
+	}
 	model := r.Header.Get("X-Model")
 	if r.Header.Get("X-Expect-Instance") != e.id || (model != "" && !slices.Contains(e.loadedModels, model)) {
 		w.Header().Set("X-Instance-Id", e.id)
@@ -371,6 +393,9 @@
 	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
 		c.beginRequest()
 	}
+	// The run counts from before its admission, so that a crash in between counts as during the run.
+	startedAt := time.Now()
+	isDeadly := e.recorder.recordArrival(request, r.Header.Get("X-Prompt-Prefix"))
 	id, runs := e.admits(w, r)
 	if !runs {
 		return
@@ -393,10 +418,14 @@
 		return
 	}
 	recordEnd := e.recorder.recordRun(request, Run{
-		Endpoint: id, Customer: r.Header.Get("X-Tenant"), Key: r.Header.Get("Authorization"), StartedAt: time.Now(), FirstEvent: first,
+		Endpoint: id, Customer: r.Header.Get("X-Tenant"), Key: r.Header.Get("Authorization"), StartedAt: startedAt, FirstEvent: first,
 		Status: status, endpoint: e,
 	})
 	w.Header().Set("X-Server-Stamp", id+"/"+request)
+	if isDeadly {
+		e.crashForAWhile(request)
+		return
+	}
 	if status != http.StatusOK {
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, errorText)
--- a/faults/soak/series.go
+++ b/faults/soak/series.go
@@ -17,6 +17,8 @@
 	// minSilence and maxSilence bound how long an endpoint is silent.
 	minSilence = time.Second
 	maxSilence = 1600 * time.Millisecond
+	// calmDeadlyDuration is how long a part of prompts stays deadly after the other faults.
+	calmDeadlyDuration = 8 * time.Second
 )
 
 // runSeries injects series of faults until ctx ends. They overlap with each other and with the
@@ -26,6 +28,9 @@
 		i.silenceEndpoints, i.endAnswersWithConnection, i.restartInSeries, i.signalInSeries, i.leaveOddEntry,
 		i.failResumedStreams, i.repeatRefusals,
 	}
+	if i.seriesRandom.IntN(2) == 0 {
+		i.sendDeadlyPart(ctx)
+	}
 	for ctx.Err() == nil {
 		series[i.seriesRandom.IntN(len(series))]()
 		time.Sleep(time.Duration(300+i.seriesRandom.IntN(900)) * time.Millisecond)
@@ -189,3 +194,17 @@
 	endpoints := i.cluster.endpoints()
 	i.injectAt(endpoints[i.seriesRandom.IntN(len(endpoints))], RepeatedRefusal, i.seriesDuration(time.Second, 3*time.Second))
 }
+
+// sendDeadlyPart makes a part of prompts deadly until calmDeadlyDuration after the end of ctx, so that
+// all gateways are in touch for a part of that time.
+func (i *Injector) sendDeadlyPart(ctx context.Context) {
+	id, delay := fmt.Sprintf("%08x", i.seriesRandom.Uint32()), i.seriesDuration(0, 2*time.Second)
+	i.inject("deadly part", "deadly part", func() error {
+		time.Sleep(delay)
+		i.cluster.recorder.SetDeadlyPart(id)
+		<-ctx.Done()
+		time.Sleep(calmDeadlyDuration)
+		i.cluster.recorder.EndDeadlyPart()
+		return nil
+	})
+}
