--- a/faults/soak/caller.go
+++ b/faults/soak/caller.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// requestTimeout is the deadline that callers send in X-Deadline-Ms.
-	requestTimeout = 2 * time.Second
+	// shortTimeout and longTimeout are the deadlines that callers send in X-Deadline-Ms.
+	shortTimeout = 2 * time.Second
+	longTimeout  = 3 * time.Second
 	// requestPause is the pause between the end of a caller's request and its next one.
 	requestPause = 15 * time.Millisecond
 )
@@ -27,6 +28,8 @@
 	Unsafe Kind = "unsafe"
 	Stream Kind = "stream"
 	Once   Kind = "once"
+	// Late is the route to an endpoint that starts while the list of endpoints has an odd entry.
+	Late Kind = "late"
 )
 
 // Outcome is a request and its result as observed by the caller.
@@ -35,12 +38,21 @@
 	Kind    Kind
 	Key     string
 	Gateway *Gateway
+	Timeout time.Duration
+	// Deadly is set if the prompt has a part that crashes engines.
+	Deadly  bool
+	Prompt  string
 	Sent    time.Time
 	Elapsed time.Duration
 	// UndisturbedAtStart is how long the gateway had been undisturbed when the request
 	// was sent, UndisturbedAtEnd when it ended.
 	UndisturbedAtStart time.Duration
 	UndisturbedAtEnd   time.Duration
+	// InTouch is set if the gateway was neither signaled nor cut from the store from recoveryTime before
+	// the request until its end.
+	InTouch bool
+	// RunsUndisturbed is set if the endpoints that ran the request were undisturbed meanwhile.
+	RunsUndisturbed bool
 	// Status is zero if there was no answer. Complete is set if the body was read to its
 	// end without an error.
 	Status   int
@@ -92,21 +104,30 @@
 		Sent: time.Now(), UndisturbedAtStart: c.cluster.UndisturbedFor(g),
 	}
 	model := fmt.Sprintf("m%d", random.IntN(modelCount))
-	ctx, cancel := context.WithTimeout(context.Background(), 2*requestTimeout)
+	o.Timeout = []time.Duration{shortTimeout, longTimeout}[random.IntN(2)]
+	o.Prompt = promptParts(&o, model, c.cluster.recorder.DeadlyPart(), random)
+	c.cluster.send(client, &o, model)
+	return o
+}
+
+// send sends a request and completes its outcome.
+func (c *Cluster) send(client *http.Client, o *Outcome, model string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*o.Timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.callerAddress+"/"+string(o.Kind)+"/x",
-		io.NopCloser(strings.NewReader(id)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Gateway.callerAddress+"/"+string(o.Kind)+"/x",
+		io.NopCloser(strings.NewReader(o.ID)))
 	if err != nil {
-		return o
+		return
 	}
 	r.Host = "h.example"
-	r.ContentLength = int64(len(id))
-	r.Header.Set("X-Request-Id", id)
+	r.ContentLength = int64(len(o.ID))
+	r.Header.Set("X-Request-Id", o.ID)
 	r.Header.Set("Authorization", "Bearer "+o.Key)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(o.Timeout.Milliseconds()))
 	if o.Kind == Stream || o.Kind == Once {
 		r.Header.Set("X-Model", model)
 		r.Header.Set("X-Token-Counts", "100,100")
+		r.Header.Set("X-Prompt-Prefix", o.Prompt)
 	}
 	answer, err := client.Do(r)
 	if err == nil {
@@ -116,6 +137,10 @@
 		_ = answer.Body.Close()
 	}
 	o.Elapsed = time.Since(o.Sent)
-	o.UndisturbedAtEnd = c.cluster.UndisturbedFor(g)
-	return o
+	o.UndisturbedAtEnd = c.UndisturbedFor(o.Gateway)
+	o.InTouch = min(o.Gateway.UndisturbedFor(), o.Gateway.storeProxy.UndisturbedFor()) >= o.Elapsed+recoveryTime
+	o.RunsUndisturbed = true
+	for _, n := range c.recorder.Runs(o.ID) {
+		o.RunsUndisturbed = o.RunsUndisturbed && n.endpoint.UndisturbedFor() > time.Since(n.StartedAt)
+	}
 }
--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -1,8 +1,8 @@
 package soak
 
 import (
-	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -16,15 +16,25 @@
 	// deadlineTolerance is the time past its deadline within which a request has to end.
 	// It allows for other load on the machine.
 	deadlineTolerance = time.Second
+	// withdrawalTolerance is the time within which the withdrawal of a key is recorded.
+	withdrawalTolerance = 500 * time.Millisecond
 )
 
 // Check records a violation for each guarantee that an outcome breaks.
 func Check(cluster *Cluster, outcomes []Outcome) {
+	for _, p := range cluster.processes() {
+		if n := p.OwnEnds(); n > 0 {
+			cluster.recorder.RecordViolation("%s ended %d times by itself", p.name, n)
+		}
+	}
+	checkDeadlyPart(cluster, outcomes)
 	for _, o := range outcomes {
 		runs := cluster.recorder.Runs(o.ID)
 		checkRuns(cluster, o, runs)
 		checkAnswer(cluster, o, runs)
+		checkStamp(cluster, o, runs)
 		checkTimeLimits(cluster, o, runs)
+		checkNotCut(cluster, o, runs)
 	}
 }
 
@@ -36,8 +46,10 @@
 	if len(runs) > 2 {
 		cluster.recorder.RecordViolation("%s request %s ran %d times, want at most 2 runs", o.Kind, o.ID, len(runs))
 	}
-	refused := o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests
-	if refused && len(runs) > 0 && o.Kind != Safe && o.Kind != Stream {
+	refusals := []int{
+		http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+	}
+	if slices.Contains(refusals, o.Status) && len(runs) > 0 {
 		cluster.recorder.RecordViolation("%s request %s was refused with status %d but ran", o.Kind, o.ID, o.Status)
 	}
 	for _, r := range runs {
@@ -47,9 +59,19 @@
 	}
 }
 
-// checkAnswer checks that a complete answer is the one to this request.
+// checkStamp checks that a failure with an endpoint's stamp has the status that the endpoint gave.
+func checkStamp(cluster *Cluster, o Outcome, runs []Run) {
+	given := slices.ContainsFunc(runs, func(r Run) bool { return r.Status == o.Status && r.Endpoint+"/"+o.ID == o.Stamp })
+	if o.Stamp != "" && o.Status != http.StatusOK && !given {
+		cluster.recorder.RecordViolation("%s request %s was answered with status %d and stamp %q, which no endpoint gave",
+			o.Kind, o.ID, o.Status, o.Stamp)
+	}
+}
+
+// checkAnswer checks that an answer is the one to this request, and that an answer that was cut is
+// the start of it and does not look complete.
 func checkAnswer(cluster *Cluster, o Outcome, runs []Run) {
-	if o.Status != http.StatusOK || !o.Complete {
+	if o.Status != http.StatusOK {
 		return
 	}
 	if !strings.HasSuffix(o.Stamp, "/"+o.ID) || len(runs) == 0 {
@@ -60,25 +82,21 @@
 	if o.Kind == Stream || o.Kind == Once {
 		want = expectedStream(o.ID)
 	}
-	if o.Body != want {
+	if (o.Complete && o.Body != want) || !strings.HasPrefix(want, o.Body) {
 		cluster.recorder.RecordViolation("%s request %s was answered with wrong body %q", o.Kind, o.ID, o.Body)
 	}
 }
 
 // expectedStream returns the complete event stream that answers a request.
 func expectedStream(id string) string {
-	var b strings.Builder
-	for n := range eventsPerStream {
-		_, _ = fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n+1, id)
-	}
-	return b.String()
+	return strings.Join(events(id, 1), "")
 }
 
 // checkTimeLimits checks that a request ended by its deadline, that a withdrawn key no
 // longer works, and that a valid key is accepted. Each check applies only if the gateway
 // had been undisturbed for long enough.
 func checkTimeLimits(cluster *Cluster, o Outcome, runs []Run) {
-	if o.UndisturbedAtEnd > o.Elapsed+recoveryTime && o.Elapsed > requestTimeout+deadlineTolerance {
+	if o.UndisturbedAtEnd > o.Elapsed+recoveryTime && o.Elapsed > o.Timeout+deadlineTolerance {
 		cluster.recorder.RecordViolation("%s request %s ended late, after %s, with status %d", o.Kind, o.ID, o.Elapsed, o.Status)
 	}
 	if o.UndisturbedAtStart < recoveryTime {
@@ -94,3 +112,22 @@
 		cluster.recorder.RecordViolation("request %s was refused as unauthorized with a valid key", o.ID)
 	}
 }
+
+// checkNotCut checks that a gateway without faults does not end an answer in time at which a sound
+// endpoint was still at work or which it had completed.
+func checkNotCut(cluster *Cluster, o Outcome, runs []Run) {
+	at, withdrawn := cluster.WithdrawnAt(o.Key)
+	// The time of a withdrawal is recorded after it may have come into force.
+	withdrawn = withdrawn && at.Before(o.Sent.Add(o.Elapsed+withdrawalTolerance))
+	cut := !o.Complete || o.Status == http.StatusBadGateway || o.Status == http.StatusGatewayTimeout
+	if !cut || withdrawn || !o.RunsUndisturbed || o.UndisturbedAtEnd <= o.Elapsed ||
+		o.Elapsed >= min(o.Timeout, shortestRouteTimeout) {
+		return
+	}
+	for _, r := range runs {
+		if r.Status == http.StatusOK && (r.End == RunCompleted || r.End == RunCanceled) {
+			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s (%d runs)",
+				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End, len(runs))
+		}
+	}
+}
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +34,26 @@
 	modelSizeMB     = 100
 )
 
+// RunEnd is how a run of a request ended.
+type RunEnd int
+
+// Ends of runs.
+const (
+	// RunUnfinished is the end of a run that still goes on or that its endpoint's crash ended.
+	RunUnfinished RunEnd = iota
+	// RunCompleted is set once the endpoint has sent the whole answer.
+	RunCompleted
+	// RunCanceled is set if the connection was closed while the endpoint was at work.
+	RunCanceled
+	// RunBroken is set if the endpoint broke the answer off.
+	RunBroken
+)
+
+// String returns the name of the end in reports.
+func (e RunEnd) String() string {
+	return [...]string{"unfinished", "completed", "canceled", "broken off"}[e]
+}
+
 // Run is one run of a request at an endpoint.
 type Run struct {
 	Endpoint  string
@@ -39,6 +62,10 @@
 	StartedAt time.Time
 	// FirstEvent is the number of the first event that the run sends, from 1.
 	FirstEvent int
+	// Status is that of the endpoint's answer.
+	Status   int
+	End      RunEnd
+	endpoint *Endpoint
 }
 
 // Recorder collects the runs of requests at all endpoints, and the violations that the
@@ -46,18 +73,36 @@
 type Recorder struct {
 	mu         sync.Mutex
 	runs       map[string][]Run
+	refused    map[string]bool
+	deadly     deadlyPart
 	violations []string
 }
 
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
-	return &Recorder{runs: make(map[string][]Run)}
+	return &Recorder{runs: make(map[string][]Run), refused: make(map[string]bool)}
 }
 
-func (r *Recorder) recordRun(id string, run Run) {
+// recordRun records that a run of a request has started. It returns a function that records its end.
+func (r *Recorder) recordRun(id string, run Run) func(RunEnd) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	n := len(r.runs[id])
 	r.runs[id] = append(r.runs[id], run)
+	return func(end RunEnd) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.runs[id][n].End = end
+	}
+}
+
+// recordRefusal records that an endpoint refuses a request, and reports whether it is the first time.
+func (r *Recorder) recordRefusal(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := !r.refused[id]
+	r.refused[id] = true
+	return first
 }
 
 // RecordViolation records a broken guarantee.
@@ -87,6 +132,7 @@
 	// listenAddress is where the endpoint listens. publicAddress is the address of its
 	// proxy, which its store entry names.
 	listenAddress, publicAddress string
+	proxy                        *Proxy
 	recorder                     *Recorder
 	store                        *Store
 	isEngine                     bool
@@ -100,7 +146,16 @@
 	loading       bool
 	sequence      uint64
 	drainingSince time.Time
-	stop          chan struct{}
+	running       bool
+	closed        bool
+	// disturbedAt is when the endpoint last started or crashed.
+	disturbedAt time.Time
+	// faultEnds holds when each fault ends, faultSeeds the seed of its random choices.
+	faultEnds  [endpointFaultCount]time.Time
+	faultSeeds [endpointFaultCount]uint64
+	// connections are the open connections.
+	connections sync.Map
+	stop        chan struct{}
 }
 
 // NewEndpoint returns an endpoint that has not started.
@@ -114,51 +169,99 @@
 func (e *Endpoint) Start() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.start(false)
+}
+
+// start starts a new instance, with the id of the one before if keepID is set. It does nothing if the
+// endpoint is running.
+func (e *Endpoint) start(keepID bool) error {
+	if e.running {
+		return nil
+	}
 	listener, err := net.Listen("tcp", e.listenAddress)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", e.listenAddress)
 	}
-	e.starts++
-	e.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(e.publicAddress, ":", "-"), e.starts)
-	e.startedAtMs = time.Now().UnixMilli()
+	if !keepID {
+		e.starts++
+		e.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(e.publicAddress, ":", "-"), e.starts)
+	}
+	e.running = true
+	e.disturbedAt = time.Now()
+	e.startedAtMs = e.disturbedAt.UnixMilli()
 	e.loadedModels, e.loading, e.sequence, e.drainingSince = nil, false, 0, time.Time{}
 	e.stop = make(chan struct{})
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnContext: withConnection, ConnState: e.trackConnection}
 	go func(s *http.Server) { _ = s.Serve(listener) }(e.server)
 	go e.sendHeartbeats(e.id, e.stop)
 	return nil
 }
 
-// Crash closes the server and its connections and deletes the store entry of the
+// Crash closes the server, resets its connections and deletes the store entry of the
 // instance.
 func (e *Endpoint) Crash() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return errors.CombineErrors(e.end(), e.store.Delete(knapweedpulley.KindEndpoints, e.id))
+}
+
+// end closes the server and its connections. It does nothing if the endpoint is not running.
+func (e *Endpoint) end() error {
+	if !e.running {
+		return nil
+	}
+	e.running = false
 	close(e.stop)
-	err := e.server.Close()
-	return errors.CombineErrors(err, e.store.Delete(knapweedpulley.KindEndpoints, e.id))
+	e.disturbedAt = time.Now()
+	return e.closeServer()
+}
+
+// trackConnection records the open connections.
+func (e *Endpoint) trackConnection(c net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		e.connections.Store(c, nil)
+	case http.StateClosed, http.StateHijacked:
+		e.connections.Delete(c)
+	}
+}
+
+// closeServer closes the server and resets its connections. An orderly end would complete an answer
+// without a length.
+func (e *Endpoint) closeServer() error {
+	e.connections.Range(func(c, _ any) bool {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return true
+	})
+	return e.server.Close()
 }
 
 // Close ends the endpoint in any state, also if it never started or has crashed.
 func (e *Endpoint) Close() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.server == nil {
-		return
-	}
 	// The whole cluster shuts down, so an error here doesn't matter.
-	_ = e.server.Close()
-	select {
-	case <-e.stop:
-	default:
-		close(e.stop)
-	}
+	_ = e.end()
+	e.closed = true
+}
+
+// UndisturbedFor returns for how long the endpoint and its proxy have been free of faults that end
+// requests.
+func (e *Endpoint) UndisturbedFor() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return min(time.Since(e.disturbedAt), e.proxy.UndisturbedFor())
 }
 
 // Drain sets the state in the store entry to draining.
 func (e *Endpoint) Drain() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.running {
+		return nil
+	}
 	e.drainingSince = time.Now()
 	return e.register()
 }
@@ -166,7 +269,7 @@
 func (e *Endpoint) sendHeartbeats(id string, stop <-chan struct{}) {
 	for {
 		e.mu.Lock()
-		if e.id == id {
+		if e.id == id && e.running {
 			if err := e.register(); err != nil {
 				e.recorder.RecordViolation("the fake store rejected the entry of an endpoint: %v", err)
 			}
@@ -268,6 +371,9 @@
 func (e *Endpoint) admits(w http.ResponseWriter, r *http.Request) (string, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.running {
+		panic(http.ErrAbortHandler)
+	}
 	model := r.Header.Get("X-Model")
 	if r.Header.Get("X-Expect-Instance") != e.id || (model != "" && !slices.Contains(e.loadedModels, model)) {
 		w.Header().Set("X-Instance-Id", e.id)
@@ -280,34 +386,121 @@
 func (e *Endpoint) serveRequest(w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
+	// The server notices that its peer closes the connection only once the body has been read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		c.beginRequest()
+	}
+	// The run counts from before its admission, so that a crash in between counts as during the run.
+	startedAt := time.Now()
+	isDeadly := e.recorder.recordArrival(request, r.Header.Get("X-Prompt-Prefix"))
 	id, runs := e.admits(w, r)
 	if !runs {
 		return
 	}
+	if e.chooses(RepeatedRefusal, request) && e.recorder.recordRefusal(request) {
+		// The peer may have closed the connection.
+		_ = e.repeatRefusal(w, r)
+		return
+	}
 	first := 1
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err == nil {
 		first++
 	}
-	e.recorder.recordRun(request, Run{
-		Endpoint: id, Customer: r.Header.Get("X-Tenant"), Key: r.Header.Get("Authorization"), StartedAt: time.Now(), FirstEvent: first,
+	status := http.StatusOK
+	if first > 1 && e.faultLeft(ResumeFails) > 0 {
+		status = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusNotFound}[e.choices(ResumeFails, request, "").IntN(3)]
+	}
+	if status == http.StatusServiceUnavailable {
+		refuse(w)
+		return
+	}
+	recordEnd := e.recorder.recordRun(request, Run{
+		Endpoint: id, Customer: r.Header.Get("X-Tenant"), Key: r.Header.Get("Authorization"), StartedAt: startedAt, FirstEvent: first,
+		Status: status, endpoint: e,
 	})
 	w.Header().Set("X-Server-Stamp", id+"/"+request)
-	if r.Header.Get("X-Model") == "" {
-		time.Sleep(plainRequestTime)
-		_, _ = fmt.Fprintf(w, "answer to %s", request) //nolint:gosec // No browser reads it.
+	if isDeadly {
+		e.crashForAWhile(request)
 		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
+	if status != http.StatusOK {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, errorText)
+		recordEnd(RunCompleted)
+		return
+	}
+	e.serveAnswer(w, r, first, recordEnd)
+}
+
+// serveAnswer sends the answer to a request, or that of a stream from event number first on.
+func (e *Endpoint) serveAnswer(w http.ResponseWriter, r *http.Request, first int, recordEnd func(RunEnd)) {
+	request := r.Header.Get("X-Request-Id")
+	isStream := r.Header.Get("X-Model") != ""
+	parts, interval := []string{"answer to ", request}, plainRequestTime/2
+	if isStream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		parts, interval = events(request, first), eventInterval
+	}
+	unframed := e.chooses(Unframed, request)
+	switch {
+	case unframed:
+		// The server then ends the answer by closing the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	case !isStream:
+		w.Header().Set("Content-Length", strconv.Itoa(len("answer to "+request))) //nolint:gosec // Only one of the two is set.
+	}
+	broken := e.chooses(BrokenOff, request)
+	if broken {
+		parts = e.breakOff(parts, request)
+	}
+	if err := e.answer(r.Context(), w, parts, interval); err != nil {
+		recordEnd(RunCanceled)
+		return
+	}
+	if broken {
+		recordEnd(RunBroken)
+		// Without a length, only a reset shows that an answer other than a stream is incomplete.
+		if (unframed && !isStream) || e.choices(BrokenOff, request, "reset").IntN(2) == 0 {
+			setReset(r.Context())
+		}
+		panic(http.ErrAbortHandler)
+	}
+	recordEnd(RunCompleted)
+}
+
+// events returns the events of a stream from number first on.
+func events(request string, first int) []string {
+	var list []string
 	for n := first; n <= eventsPerStream; n++ {
-		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, request) //nolint:gosec // No browser reads it.
-		if err := errors.CombineErrors(err, control.Flush()); err != nil {
-			return
+		list = append(list, fmt.Sprintf("id: %d\ndata: %s\n\n", n, request))
+	}
+	return list
+}
+
+// answer sends the parts of a body, each after an interval.
+func (e *Endpoint) answer(ctx context.Context, w http.ResponseWriter, parts []string, interval time.Duration) error {
+	control := http.NewResponseController(w)
+	for _, p := range parts {
+		if err := sleep(ctx, max(interval, e.faultLeft(Silent))); err != nil {
+			return err
 		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(eventInterval):
+		_, err := io.WriteString(w, p) //nolint:gosec // No browser reads it.
+		if err := errors.CombineErrors(err, control.Flush()); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
 }
