Send nothing more to an endpoint that says it is leaving

An endpoint that leaves says so in all its answers. The gateway passed them on without reading it and kept sending requests until the store told, or, while that is silent, for as long as the outage lasted.

An answer of the endpoint itself that says so now excludes it from the next choice on, from loads too, until it registers with a later start; the registration may lapse and come back meanwhile. What runs there ends undisturbed.

--- a/exchange.go
+++ b/exchange.go
@@ -91,6 +91,9 @@
 	// Misdirected reports whether the address belongs to another endpoint, or the
 	// endpoint doesn't hold the model.
 	Misdirected() bool
+	// Leaving reports whether the endpoint says that it is leaving. It takes no further
+	// requests then, and finishes those that it has.
+	Leaving() bool
 	// Load returns the load that the endpoint reported with the answer.
 	Load() Option[EndpointLoad]
 	// Read reads the rest of the answer. It returns io.EOF only at the end of a complete
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -55,6 +55,8 @@
 	avoidUntil  atomic.Int64
 	// unreachableUntil is set while the endpoint refuses connections.
 	unreachableUntil atomic.Int64
+	// leaving is set once the endpoint has said that it is leaving.
+	leaving atomic.Bool
 }
 
 func newEndpoint(id knapweedpulley.EndpointID, clock knapweedpulley.Clock) *Endpoint {
@@ -131,6 +133,12 @@
 	return knapweedpulley.Instant(e.avoidUntil.Load()).After(e.clock.Now())
 }
 
+// Departing reports whether the endpoint takes no new requests because it is leaving, by its
+// registration or by its own word.
+func (e *Endpoint) Departing() bool {
+	return e.leaving.Load() || e.Registration().Draining
+}
+
 // unreachable reports whether the endpoint refused connections recently and its
 // keeper has sent no report since.
 func (e *Endpoint) unreachable() bool {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,13 +41,14 @@
 	clock knapweedpulley.Clock
 	zone  knapweedpulley.ZoneID
 	index atomic.Pointer[index]
-	// mu is held to replace the index.
-	mu sync.Mutex
+	// mu is held to replace the index. It guards departures.
+	mu         sync.Mutex
+	departures departures
 }
 
 // New returns an empty fleet, seen from a zone.
 func New(clock knapweedpulley.Clock, zone knapweedpulley.ZoneID) *Fleet {
-	f := &Fleet{clock: clock, zone: zone}
+	f := &Fleet{clock: clock, zone: zone, departures: make(departures)}
 	f.index.Store(buildIndex(nil))
 	return f
 }
@@ -71,6 +72,7 @@
 		e, known := last.byID[r.ID]
 		if !known || e.Registration().Start != r.Start {
 			e = newEndpoint(r.ID, f.clock)
+			e.leaving.Store(f.departures.has(r.ID, r.Start))
 		}
 		e.registration.Store(&r)
 		next[r.ID] = e
@@ -105,6 +107,24 @@
 	time.AfterFunc(unreachableTime+time.Millisecond, f.rebuild)
 }
 
+// MarkLeaving excludes an endpoint that has said that it is leaving, until it registers with a later
+// start. It reports whether that is news. Unlike [Fleet.MarkUnreachable], it excludes the last
+// endpoint of a service as well.
+func (f *Fleet) MarkLeaving(e *Endpoint) bool {
+	if e.leaving.Load() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !e.leaving.CompareAndSwap(false, true) {
+		return false
+	}
+	f.departures.add(e.id, e.Registration().Start, f.clock.Now())
+	last := f.index.Load()
+	f.replace(last, last.byID)
+	return true
+}
+
 // rebuild builds the index again from the present state of the endpoints.
 func (f *Fleet) rebuild() {
 	f.mu.Lock()
@@ -164,7 +184,7 @@
 	ordered := slices.SortedFunc(maps.Values(byID), func(a, b *Endpoint) int { return cmp.Compare(a.id, b.id) })
 	for _, e := range ordered {
 		entry := e.Registration()
-		if entry.Draining || e.unreachable() {
+		if e.Departing() || e.unreachable() {
 			continue
 		}
 		x.services[entry.Service] = append(x.services[entry.Service], e)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -184,6 +184,47 @@
 	})
 }
 
+func TestLeavingEndpointGetsNoRequests(t *testing.T) {
+	again := func(f *fleet.Fleet, start uint64) {
+		r := registration("a", "home", "m")
+		r.Start = start
+		f.Update([]knapweedpulley.RegisteredEndpoint{r})
+	}
+	mark := func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		again(f, 2)
+		is.True(f.MarkLeaving(f.Endpoints()["a"]))
+		is.True(!f.MarkLeaving(f.Endpoints()["a"]))
+	}
+	inBubble("though its registration stays", t, func(t *testing.T, f *fleet.Fleet) {
+		mark(t, f)
+		assertChoice(t, f, requirements("m"), "")
+		again(f, 2)
+		assertChoice(t, f, requirements("m"), "")
+	})
+	inBubble("though its registration lapses and comes back", t, func(t *testing.T, f *fleet.Fleet) {
+		mark(t, f)
+		f.Update(nil)
+		again(f, 2)
+		assertChoice(t, f, requirements("m"), "")
+		f.Update(nil)
+		again(f, 1)
+		assertChoice(t, f, requirements("m"), "")
+	})
+	inBubble("until it registers with a later start", t, func(t *testing.T, f *fleet.Fleet) {
+		mark(t, f)
+		again(f, 3)
+		assertChoice(t, f, requirements("m"), "a")
+	})
+	inBubble("but another endpoint at its address does", t, func(t *testing.T, f *fleet.Fleet) {
+		mark(t, f)
+		other := registration("b", "home", "m")
+		other.Start = 3
+		f.Update([]knapweedpulley.RegisteredEndpoint{other})
+		assertChoice(t, f, requirements("m"), "b")
+	})
+}
+
 func TestReservedRequestsStayWithinSlots(t *testing.T) {
 	inBubble("of many that begin at once", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m")})
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -106,6 +106,9 @@
 	// status is 200 if it is zero.
 	status int
 	notRun bool
+	// leaving and unstamped answers say that the endpoint is leaving, or lack its stamp.
+	leaving   bool
+	unstamped bool
 	// silence is the time before a whole answer, or in a stream after silentAfter events.
 	silence     time.Duration
 	silentAfter int
@@ -164,7 +167,7 @@
 }
 
 // FromEndpoint implements knapweedpulley.Reply.
-func (r *scriptedReply) FromEndpoint() bool { return true }
+func (r *scriptedReply) FromEndpoint() bool { return !r.unstamped }
 
 // NotRun implements knapweedpulley.Reply.
 func (r *scriptedReply) NotRun() bool { return r.notRun }
@@ -172,6 +175,9 @@
 // Misdirected implements knapweedpulley.Reply.
 func (r *scriptedReply) Misdirected() bool { return false }
 
+// Leaving implements knapweedpulley.Reply.
+func (r *scriptedReply) Leaving() bool { return r.leaving }
+
 // Load implements knapweedpulley.Reply.
 func (r *scriptedReply) Load() knapweedpulley.Option[knapweedpulley.EndpointLoad] {
 	return knapweedpulley.None[knapweedpulley.EndpointLoad]()
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -28,6 +28,11 @@
 	}
 }
 
+// recordDeparture counts an endpoint that has said that it is leaving.
+func (m *Meter) recordDeparture() {
+	m.scope.Counter("departures").Inc(1)
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -62,9 +62,7 @@
 		return ctx.Err() == nil, err
 	}
 	defer reply.Close()
-	if l, known := reply.Load().Get(); known {
-		e.Observe(l)
-	}
+	h.observe(e, reply)
 	if reply.NotRun() || reply.Misdirected() {
 		if !reply.Misdirected() {
 			outcome = fleet.Failed
@@ -93,6 +91,21 @@
 	return retryable, err
 }
 
+// observe records what an answer says of its endpoint: its load, and whether it is leaving.
+func (h *callHandler) observe(e *fleet.Endpoint, reply knapweedpulley.Reply) {
+	if l, known := reply.Load().Get(); known {
+		e.Observe(l)
+	}
+	genuine := !reply.Misdirected() && (reply.FromEndpoint() || reply.NotRun())
+	if !genuine || !reply.Leaving() || !h.Fleet.MarkLeaving(e) {
+		return
+	}
+	r := e.Registration()
+	h.Log.WithField("endpoint", e.ID()).WithField("start", r.Start).WithField("draining", r.Draining).
+		WithField("request", h.call.ID).Info("endpoint says that it is leaving; it gets no more requests")
+	h.Meter.recordDeparture()
+}
+
 // endWatch stops the watchdog of an exchange, and records the retry that it was granted if it has
 // canceled the exchange.
 func (h *callHandler) endWatch(guard *watchdog) {
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -217,7 +217,7 @@
 // remainingTime returns the estimated time until a pending load ends, and false if its endpoint no
 // longer works on it.
 func (p *Placer) remainingTime(t loadTarget, load *pendingLoad) (time.Duration, bool) {
-	if p.fleet.Endpoints()[load.endpoint.ID()] != load.endpoint || load.endpoint.Registration().Draining {
+	if p.fleet.Endpoints()[load.endpoint.ID()] != load.endpoint || load.endpoint.Departing() {
 		return 0, false
 	}
 	r, age, fresh := load.endpoint.Report()
