Hold an endpoint back for as long as it asks for

An endpoint that refuses a request for lack of capacity may say for how long it wants none. The gateway didn't read that: at 200 calls a second an overloaded endpoint went on getting all of them, and callers whose requests no endpoint could take were sent from one to the other and refused without a time to come back.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -19,6 +19,7 @@
 	"github.com/knapweedpulley/knapweedpulley/engine/exchange"
 	"github.com/knapweedpulley/knapweedpulley/fleet"
 	"github.com/knapweedpulley/knapweedpulley/gateway"
+	"github.com/knapweedpulley/knapweedpulley/holdback"
 	"github.com/knapweedpulley/knapweedpulley/installation"
 	"github.com/knapweedpulley/knapweedpulley/link"
 	"github.com/knapweedpulley/knapweedpulley/logbook"
@@ -139,7 +140,7 @@
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
 		RateLimiter:  gateway.NewRateLimiter(p.allowances, link.NewAllowanceBorrower(connections), p.peers, clock, p.log),
 		CrashTracker: gateway.NewCrashTracker(suspects, exchanger, p.fleet, p.log),
-		RetryBudget:  p.budget, Exchanger: exchanger, Clock: clock, Log: p.log,
+		RetryBudget:  p.budget, HoldPolicy: holdback.Spread{}, Exchanger: exchanger, Clock: clock, Log: p.log,
 		Meter: gateway.NewMeter(scope),
 	})
 	p.ingress = platform.NewIngress(p.gateway, clock)
--- a/exchange.go
+++ b/exchange.go
@@ -94,6 +94,10 @@
 	// Leaving reports whether the endpoint says that it is leaving. It takes no further
 	// requests then, and finishes those that it has.
 	Leaving() bool
+	// RetryAfter returns for how long the endpoint wants no further requests from this
+	// gateway, as it refused the call for lack of capacity. The error says why a time that
+	// the endpoint gave is not used.
+	RetryAfter() (Option[time.Duration], error)
 	// Load returns the load that the endpoint reported with the answer.
 	Load() Option[EndpointLoad]
 	// Read reads the rest of the answer. It returns io.EOF only at the end of a complete
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -51,12 +51,33 @@
 // Choose returns the endpoint with the earliest expected answer among those
 // that hold what the request needs.
 func (f *Fleet) Choose(needs Requirements) (*Endpoint, bool) {
+	return f.best(f.candidates(needs), needs)
+}
+
+// candidates returns the endpoints that hold what the request needs.
+func (f *Fleet) candidates(needs Requirements) []*Endpoint {
 	x := f.index.Load()
-	candidates := x.services[needs.Service]
 	if needs.Weights.Model != "" {
-		candidates = x.holders[needs.Service][needs.Weights]
+		return x.holders[needs.Service][needs.Weights]
+	}
+	return x.services[needs.Service]
+}
+
+// HeldUntil returns when the first of the endpoints that hold what the request needs takes requests
+// again. It returns false unless all of them are held back.
+func (f *Fleet) HeldUntil(needs Requirements) (knapweedpulley.Instant, bool) {
+	var earliest knapweedpulley.Instant
+	found := false
+	for _, e := range f.candidates(needs) {
+		until, held := e.HeldUntil()
+		if !held {
+			return 0, false
+		}
+		if !found || until < earliest {
+			earliest, found = until, true
+		}
 	}
-	return f.best(candidates, needs)
+	return earliest, found
 }
 
 // best returns the candidate with the lowest cost. An endpoint whose connections
@@ -67,7 +88,7 @@
 	var lowest time.Duration
 	bestAvoided := false
 	for _, e := range candidates {
-		if needs.Avoid.Has(e.id) {
+		if _, held := e.HeldUntil(); held || needs.Avoid.Has(e.id) {
 			continue
 		}
 		avoided := e.Avoided()
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -55,6 +55,8 @@
 	avoidUntil  atomic.Int64
 	// unreachableUntil is set while the endpoint refuses connections.
 	unreachableUntil atomic.Int64
+	// heldUntil is until when the endpoint wants no requests.
+	heldUntil atomic.Int64
 	// leaving is set once the endpoint has said that it is leaving.
 	leaving atomic.Bool
 }
@@ -236,9 +238,27 @@
 
 // Avoid has the endpoint avoided for d from now.
 func (e *Endpoint) Avoid(d time.Duration) {
-	until := int64(e.clock.Now().Add(d))
-	for last := e.avoidUntil.Load(); last < until; last = e.avoidUntil.Load() {
-		if e.avoidUntil.CompareAndSwap(last, until) {
+	advance(&e.avoidUntil, e.clock.Now().Add(d))
+}
+
+// HoldBack excludes the endpoint from choices for d from now, as it wants no requests. It reports
+// whether the endpoint took requests until now.
+func (e *Endpoint) HoldBack(d time.Duration) bool {
+	_, held := e.HeldUntil()
+	advance(&e.heldUntil, e.clock.Now().Add(d))
+	return !held
+}
+
+// HeldUntil returns until when the endpoint wants no requests, and false if it takes them.
+func (e *Endpoint) HeldUntil() (knapweedpulley.Instant, bool) {
+	until := knapweedpulley.Instant(e.heldUntil.Load())
+	return until, until.After(e.clock.Now())
+}
+
+// advance stores an instant unless a later one is stored.
+func advance(stored *atomic.Int64, i knapweedpulley.Instant) {
+	for last := stored.Load(); last < int64(i); last = stored.Load() {
+		if stored.CompareAndSwap(last, int64(i)) {
 			return
 		}
 	}
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -315,6 +315,12 @@
 			h.backOff(ctx, changed)
 			continue
 		}
+		if until, held := h.Fleet.HeldUntil(need); held {
+			if err := h.awaitRelease(ctx, changed, until); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		if need.Weights.Model != "" {
 			if err := h.Placer.Await(ctx, h.loadRequest()); err != nil {
 				return nil, err
@@ -327,6 +333,29 @@
 	}
 }
 
+// awaitRelease waits until the first of the call's endpoints takes requests again, or for a change of
+// the fleet. It refuses the call at once if it couldn't be answered in time then.
+func (h *callHandler) awaitRelease(ctx context.Context, changed <-chan struct{}, until knapweedpulley.Instant) error {
+	now := h.Clock.Now()
+	wait, inTime := h.HoldPolicy.Wait(knapweedpulley.HeldCall{
+		Now: now, FreeAt: until, LatestStart: h.callerPatienceEnd().Add(-firstEventReserve), Priority: h.admission.Priority,
+	})
+	if !inTime {
+		return knapweedpulley.NewRefusal(knapweedpulley.CodeHeldBack, knapweedpulley.NotRun,
+			"all endpoints of service %s want no requests for %s", h.admission.Service.ID, until.Sub(now)).WithRetryAfter(wait)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
+			"the caller disconnected while all endpoints wanted no requests")
+	}
+	return nil
+}
+
 // backOff waits for refusalBackoff or a change of the fleet, whichever comes first. For a moved call,
 // which may be refused more often, the time doubles with each refusal.
 func (h *callHandler) backOff(ctx context.Context, changed <-chan struct{}) {
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/fleet"
 	"github.com/knapweedpulley/knapweedpulley/gateway"
+	"github.com/knapweedpulley/knapweedpulley/holdback"
 	"github.com/knapweedpulley/knapweedpulley/installation"
 	installationfake "github.com/knapweedpulley/knapweedpulley/installation/fake"
 	"github.com/knapweedpulley/knapweedpulley/logbook"
@@ -69,7 +70,7 @@
 	rateLimiter, _ := newRateLimiter()
 	return gateway.New(gateway.Options{
 		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter, CrashTracker: crashTracker,
-		RetryBudget: gateway.NewRetryBudget(d.retrySlack, 1), Exchanger: d.exchanger, Clock: clock, Log: logger,
+		RetryBudget: gateway.NewRetryBudget(d.retrySlack, 1), HoldPolicy: holdback.Spread{}, Exchanger: d.exchanger, Clock: clock, Log: logger,
 		Meter: gateway.NewMeter(tally.NoopScope),
 	})
 }
@@ -109,6 +110,8 @@
 	// leaving and unstamped answers say that the endpoint is leaving, or lack its stamp.
 	leaving   bool
 	unstamped bool
+	// retryAfter is for how long the endpoint wants no requests.
+	retryAfter time.Duration
 	// silence is the time before a whole answer, or in a stream after silentAfter events.
 	silence     time.Duration
 	silentAfter int
@@ -178,6 +181,11 @@
 // Leaving implements knapweedpulley.Reply.
 func (r *scriptedReply) Leaving() bool { return r.leaving }
 
+// RetryAfter implements knapweedpulley.Reply.
+func (r *scriptedReply) RetryAfter() (knapweedpulley.Option[time.Duration], error) {
+	return knapweedpulley.Some(r.retryAfter), nil
+}
+
 // Load implements knapweedpulley.Reply.
 func (r *scriptedReply) Load() knapweedpulley.Option[knapweedpulley.EndpointLoad] {
 	return knapweedpulley.None[knapweedpulley.EndpointLoad]()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,7 @@
 	RateLimiter  *RateLimiter
 	CrashTracker *CrashTracker
 	RetryBudget  *RetryBudget
+	HoldPolicy   knapweedpulley.HoldPolicy
 	Exchanger    knapweedpulley.Exchanger
 	Clock        knapweedpulley.Clock
 	Log          log.Interface
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -33,6 +33,11 @@
 	m.scope.Counter("departures").Inc(1)
 }
 
+// recordHold counts an endpoint that wants no requests for a while.
+func (m *Meter) recordHold() {
+	m.scope.Counter("holds").Inc(1)
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -96,14 +96,25 @@
 	if l, known := reply.Load().Get(); known {
 		e.Observe(l)
 	}
-	genuine := !reply.Misdirected() && (reply.FromEndpoint() || reply.NotRun())
-	if !genuine || !reply.Leaving() || !h.Fleet.MarkLeaving(e) {
+	genuine := reply.FromEndpoint() || reply.NotRun()
+	if !genuine || reply.Misdirected() {
 		return
 	}
 	r := e.Registration()
-	h.Log.WithField("endpoint", e.ID()).WithField("start", r.Start).WithField("draining", r.Draining).
-		WithField("request", h.call.ID).Info("endpoint says that it is leaving; it gets no more requests")
-	h.Meter.recordDeparture()
+	entry := h.Log.WithField("endpoint", e.ID()).WithField("start", r.Start).WithField("draining", r.Draining).
+		WithField("request", h.call.ID)
+	if reply.Leaving() && h.Fleet.MarkLeaving(e) {
+		entry.Info("endpoint says that it is leaving; it gets no more requests")
+		h.Meter.recordDeparture()
+	}
+	retryAfter, err := reply.RetryAfter()
+	if err != nil {
+		entry.WithError(err).Warn("endpoint gave no valid time after which it takes requests again")
+	}
+	if d, given := retryAfter.Get(); given && d > 0 && e.HoldBack(d) {
+		entry.WithField("holdMs", d.Milliseconds()).Info("endpoint wants no requests for a while")
+		h.Meter.recordHold()
+	}
 }
 
 // endWatch stops the watchdog of an exchange, and records the retry that it was granted if it has
--- a/logbook/trace/trace.go
+++ b/logbook/trace/trace.go
@@ -89,6 +89,7 @@
 	InTime     Cause = "in time"
 	OverRate   Cause = "over its rate"
 	NoModel    Cause = "waited for its model"
+	HeldBack   Cause = "endpoints held back"
 	LateFirst  Cause = "late first answer"
 	LongPause  Cause = "long pause"
 	BrokenOff  Cause = "broken off"
@@ -107,6 +108,8 @@
 		return BrokenOff
 	case f.Code == knapweedpulley.CodeRateExceeded:
 		return OverRate
+	case f.Code == knapweedpulley.CodeHeldBack:
+		return HeldBack
 	case f.Code == knapweedpulley.CodeCanceled:
 		return CallerLeft
 	case f.Code != "" && f.Model != "" && f.WaitedMs > f.AimMs/2:
--- a/verdict.go
+++ b/verdict.go
@@ -42,6 +42,7 @@
 	CodeRateExceeded        Code = "rateExceeded"
 	CodeQueueFull           Code = "queueFull"
 	CodeOverloaded          Code = "overloaded"
+	CodeHeldBack            Code = "heldBack"
 	CodeDeadlineExceeded    Code = "deadlineExceeded"
 	CodeCanceled            Code = "canceled"
 	CodeDraining            Code = "draining"
