--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/fleet"
 	"github.com/knapweedpulley/knapweedpulley/gateway"
+	"github.com/knapweedpulley/knapweedpulley/holdback"
 	"github.com/knapweedpulley/knapweedpulley/installation"
 	installationfake "github.com/knapweedpulley/knapweedpulley/installation/fake"
 	"github.com/knapweedpulley/knapweedpulley/logbook"
@@ -72,7 +73,7 @@
 	return gateway.New(gateway.Options{
 		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter,
 		CrashTracker: gateway.NewCrashTracker(lists["one"], crashes, f, logger),
-		RetryBudget:  gateway.NewRetryBudget(d.retrySlack, 1), Exchanger: d.exchanger, Clock: clock, Log: logger,
+		RetryBudget:  gateway.NewRetryBudget(d.retrySlack, 1), HoldPolicy: holdback.Spread{}, Exchanger: d.exchanger, Clock: clock, Log: logger,
 		Meter: gateway.NewMeter(tally.NoopScope),
 	})
 }
@@ -111,6 +112,11 @@
 	// status is 200 if it is zero.
 	status int
 	notRun bool
+	// leaving and unstamped answers say that the endpoint is leaving, or lack its stamp.
+	leaving   bool
+	unstamped bool
+	// retryAfter is for how long the endpoint wants no requests.
+	retryAfter time.Duration
 	// silence is the time before a whole answer, or in a stream after silentAfter events.
 	silence     time.Duration
 	silentAfter int
@@ -169,7 +175,7 @@
 }
 
 // FromEndpoint implements knapweedpulley.Reply.
-func (r *scriptedReply) FromEndpoint() bool { return true }
+func (r *scriptedReply) FromEndpoint() bool { return !r.unstamped }
 
 // NotRun implements knapweedpulley.Reply.
 func (r *scriptedReply) NotRun() bool { return r.notRun }
@@ -177,6 +183,14 @@
 // Misdirected implements knapweedpulley.Reply.
 func (r *scriptedReply) Misdirected() bool { return false }
 
+// Leaving implements knapweedpulley.Reply.
+func (r *scriptedReply) Leaving() bool { return r.leaving }
+
+// RetryAfter implements knapweedpulley.Reply.
+func (r *scriptedReply) RetryAfter() (knapweedpulley.Option[time.Duration], error) {
+	return knapweedpulley.Some(r.retryAfter), nil
+}
+
 // Load implements knapweedpulley.Reply.
 func (r *scriptedReply) Load() knapweedpulley.Option[knapweedpulley.EndpointLoad] {
 	return knapweedpulley.None[knapweedpulley.EndpointLoad]()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -65,9 +65,7 @@
 		return ctx.Err() == nil, err
 	}
 	defer reply.Close()
-	if l, known := reply.Load().Get(); known {
-		e.Observe(l)
-	}
+	h.observe(e, reply)
 	if reply.NotRun() || reply.Misdirected() {
 		if !reply.Misdirected() {
 			outcome = fleet.Failed
@@ -96,6 +94,32 @@
 	return retryable, err
 }
 
+// observe records what an answer says of its endpoint: its load, and whether it is leaving.
+func (h *callHandler) observe(e *fleet.Endpoint, reply knapweedpulley.Reply) {
+	if l, known := reply.Load().Get(); known {
+		e.Observe(l)
+	}
+	genuine := reply.FromEndpoint() || reply.NotRun()
+	if !genuine || reply.Misdirected() {
+		return
+	}
+	r := e.Registration()
+	entry := h.Log.WithField("endpoint", e.ID()).WithField("start", r.Start).WithField("draining", r.Draining).
+		WithField("request", h.call.ID)
+	if reply.Leaving() && h.Fleet.MarkLeaving(e) {
+		entry.Info("endpoint says that it is leaving; it gets no more requests")
+		h.Meter.recordDeparture()
+	}
+	retryAfter, err := reply.RetryAfter()
+	if err != nil {
+		entry.WithError(err).Warn("endpoint gave no valid time after which it takes requests again")
+	}
+	if d, given := retryAfter.Get(); given && d > 0 && e.HoldBack(d) {
+		entry.WithField("holdMs", d.Milliseconds()).Info("endpoint wants no requests for a while")
+		h.Meter.recordHold()
+	}
+}
+
 // endWatch stops the watchdog of an exchange, and records the retry that it was granted if it has
 // canceled the exchange.
 func (h *callHandler) endWatch(guard *watchdog) {
