--- a/faults/soak/soak_test.go
+++ b/faults/soak/soak_test.go
@@ -48,6 +48,12 @@
 		// configuration from another one. The check now allows the time within which a
 		// configuration comes into force.
 		12023239464591184914,
+		// A gateway canceled an exchange with a silent endpoint before it knew that the call
+		// could move to another one.
+		2,
+		// A gateway took a refusal that an endpoint had written twice for the answer to the
+		// second send of the same request.
+		18,
 	}
 }
 
