Refuse connections to a crashed endpoint in the soak

The proxy in front of a crashed endpoint went on listening and reset what it accepted. A gateway tells a crash by the refusal of a new connection (machine.RefusesConnections), so it took no crash for one, and the checks of the deadly part failed for that reason. The proxy now closes its listener while its endpoint is down.

--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -182,6 +182,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", e.listenAddress)
 	}
+	if err := e.proxy.Listen(); err != nil {
+		return errors.CombineErrors(err, listener.Close())
+	}
 	if !keepID {
 		e.starts++
 		e.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(e.publicAddress, ":", "-"), e.starts)
@@ -213,6 +216,7 @@
 	e.running = false
 	close(e.stop)
 	e.disturbedAt = time.Now()
+	e.proxy.StopListening()
 	return e.closeServer()
 }
 
--- a/faults/soak/proxy.go
+++ b/faults/soak/proxy.go
@@ -38,12 +38,14 @@
 
 // Proxy is a TCP proxy that injects faults into the connections through it.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[*proxyConnection]struct{}
+	mu sync.Mutex
+	// listener is nil while the proxy does not listen.
+	listener net.Listener
+	mode     Mode
+	conns    map[*proxyConnection]struct{}
 	// disturbedAt is when the mode last changed or connections were last reset.
 	disturbedAt time.Time
 }
@@ -59,18 +61,39 @@
 
 // NewProxy listens on address and forwards connections to target.
 func NewProxy(address, target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", address)
+	p := &Proxy{address: address, target: target, conns: make(map[*proxyConnection]struct{})}
+	return p, p.Listen()
+}
+
+// Listen opens the listener if it is closed.
+func (p *Proxy) Listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
+		return errors.Wrapf(err, "listen on %s", p.address)
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
+// StopListening closes the listener, so that new connections are refused.
+func (p *Proxy) StopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
 	}
-	p := &Proxy{listener: listener, target: target, conns: make(map[*proxyConnection]struct{})}
-	go p.accept()
-	return p, nil
+	p.listener = nil
 }
 
 // Close closes the listener and resets all connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.StopListening()
 	p.Reset()
 }
 
@@ -117,9 +140,9 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
