Check for a crash when an answer ends with its connection

Callers got the start of an answer as a complete one, status and all, when their endpoint crashed in an answer with neither a length nor chunks. The call also cleared the parts of its prompt, so that a part that crashes endpoints this way was never refused.

The kernel closes the connections of a killed process with a FIN if nothing is left to read, which is also how such an answer ends. Raw, the head and "hal" with a listener that is closed: the body "hal", no error.

A reply now says whether its end is marked by a length or chunks. At the end of any other answer the gateway checks whether the endpoint refuses connections, before it passes on what it held back, ends a stream or clears parts. If it does, the answer has broken off: it is retried, resumed or reported as incomplete, and the crash is reported. The check is a connection of its own, takes 200 ms at most, and counts as passed if it gets no result.

--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -415,14 +415,18 @@
 		sent = true
 	default:
 	}
-	framed := a.ContentLength >= 0 || chunked(a.Response)
-	if intact := a.stopCancellation(); !intact || !sent || !a.readToEnd || !framed || a.Close || a.conn.reader.Buffered() > 0 {
+	if intact := a.stopCancellation(); !intact || !sent || !a.readToEnd || !a.Framed() || a.Close || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
 	}
 	a.pool.putIdle(a.conn, keepAliveTimeout(a.Header))
 }
 
+// Framed reports whether a length or chunks mark the end of the answer.
+func (a *Answer) Framed() bool {
+	return a.ContentLength >= 0 || chunked(a.Response)
+}
+
 func chunked(r *http.Response) bool {
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
--- a/exchange.go
+++ b/exchange.go
@@ -118,11 +118,14 @@
 	RetryAfter() (Option[time.Duration], error)
 	// Load returns the load that the endpoint reported with the answer.
 	Load() Option[EndpointLoad]
+	// Framed reports whether a length or chunks mark the end of the answer. Any other answer
+	// ends with its connection, which the crash of an endpoint ends as well.
+	Framed() bool
 	// Read reads the rest of the answer. It returns io.EOF only at the end of a complete
-	// answer.
+	// answer, or where the connection of an answer that is not framed ends.
 	Read(p []byte) (int, error)
 	// Event returns the next complete event, or io.EOF at the end of a complete
-	// stream.
+	// stream, or where the connection of a stream that is not framed ends between events.
 	Event() (StreamEvent, error)
 	// Close ends the exchange. It closes the connection if the answer wasn't read
 	// to its end.
--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -17,6 +17,8 @@
 	// crashReportTimeout bounds the check whether an endpoint has crashed together with the
 	// report to the other gateways.
 	crashReportTimeout = time.Second
+	// answerCheckTimeout bounds the check for a crash while an answer is held back.
+	answerCheckTimeout = 200 * time.Millisecond
 	// maxTrackedCrashes bounds the number of crashes whose suspects are kept.
 	maxTrackedCrashes = 256
 	// maxCallParts bounds the prompt parts of one call that become suspects, maxReported the
@@ -88,6 +90,13 @@
 	c.suspectList.RecordAnswer(call.Fingerprint, call.SharedFingerprints())
 }
 
+// HasCrashed reports whether an endpoint is known to refuse connections, as after a crash.
+func (c *CrashTracker) HasCrashed(ctx context.Context, e *fleet.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerCheckTimeout)
+	defer cancel()
+	return c.exchanger.RefusesConnections(ctx, e.Registration().Address)
+}
+
 // HandleBrokenExchange checks whether an endpoint has crashed after an exchange with it broke off.
 // If so, it removes the endpoint from the fleet and reports the content of the call before it
 // returns.
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -123,7 +123,9 @@
 	// events are the ids of the events of a stream. A stream breaks off after them if broken is set.
 	events []string
 	broken bool
-	body   string
+	// unframed answers end with their connection.
+	unframed bool
+	body     string
 	// partSize is the size in bytes of the parts of the body, each of which comes after partPause.
 	partSize  int
 	partPause time.Duration
@@ -196,6 +198,9 @@
 	return knapweedpulley.None[knapweedpulley.EndpointLoad]()
 }
 
+// Framed implements knapweedpulley.Reply.
+func (r *scriptedReply) Framed() bool { return !r.unframed }
+
 // Read implements knapweedpulley.Reply.
 func (r *scriptedReply) Read(p []byte) (int, error) {
 	if r.partSize > 0 && r.body.Len()%r.partSize == 0 && r.body.Len() > 0 {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -87,7 +87,7 @@
 		retryable, err = true, errors.Mark(knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"endpoint %s answered with status %d instead of resuming the stream", e.ID(), status), errEndpointFailed)
 	default:
-		retryable, err = h.copy(guard, reply)
+		retryable, err = h.copy(ctx, guard, reply, e)
 	}
 	h.endWatch(guard)
 	outcome = h.outcome(ctx, e, err)
@@ -206,18 +206,26 @@
 // errEndpointFailed marks an answer with an error status that was not passed on to the caller.
 var errEndpointFailed = errors.New("endpoint answered with an error status")
 
+// errCutByCrash is the error of an answer that ended because its endpoint crashed.
+var errCutByCrash = errors.New("endpoint refuses connections after an answer without a marked end")
+
 // errCallerWrite marks a failure to write to the caller.
 var errCallerWrite = errors.New("write to the caller failed")
 
 // copy passes an answer on to the caller. An answer of up to wholeAnswerSize is read whole first,
 // so that the call can still be sent to another endpoint if the answer breaks off.
-func (h *callHandler) copy(guard *watchdog, reply knapweedpulley.Reply) (bool, error) {
+func (h *callHandler) copy(
+	ctx context.Context, guard *watchdog, reply knapweedpulley.Reply, e *fleet.Endpoint,
+) (bool, error) {
 	head := reply.Head()
 	start, err := io.ReadAll(io.LimitReader(watchedReader{reply, guard}, wholeAnswerSize))
 	h.endWatch(guard)
 	if err == nil && h.next != nil && int64(len(start)) == wholeAnswerSize {
 		err = errStalled
 	}
+	if err == nil && int64(len(start)) < wholeAnswerSize {
+		err = h.checkEnd(ctx, reply, e)
+	}
 	if err != nil {
 		return true, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"answer of endpoint %s broke off: %v", h.endpoint, err)
@@ -238,11 +246,11 @@
 	if int64(len(start)) < wholeAnswerSize {
 		return false, nil
 	}
-	return false, h.copyRest(reply)
+	return false, h.copyRest(ctx, reply, e)
 }
 
 // copyRest passes on the rest of an answer, however long it is.
-func (h *callHandler) copyRest(reply knapweedpulley.Reply) error {
+func (h *callHandler) copyRest(ctx context.Context, reply knapweedpulley.Reply, e *fleet.Endpoint) error {
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := reply.Read(buffer)
@@ -251,8 +259,12 @@
 				return errors.Mark(err, errCallerWrite)
 			}
 		}
+		ended := errors.Is(err, io.EOF)
+		if ended {
+			err = h.checkEnd(ctx, reply, e)
+		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case ended && err == nil:
 			return nil
 		case err != nil:
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
@@ -261,6 +273,15 @@
 	}
 }
 
+// checkEnd returns an error if the end of an answer is that of a connection to an endpoint that has
+// crashed.
+func (h *callHandler) checkEnd(ctx context.Context, reply knapweedpulley.Reply, e *fleet.Endpoint) error {
+	if reply.Framed() || !h.CrashTracker.HasCrashed(context.WithoutCancel(ctx), e) {
+		return nil
+	}
+	return errCutByCrash
+}
+
 // canRetryFailure reports whether the call may be sent to another endpoint after one answered
 // with an error status.
 func (h *callHandler) canRetryFailure() bool {
@@ -279,7 +300,10 @@
 	for {
 		event, err := reply.Event()
 		if errors.Is(err, io.EOF) {
-			return h.endStream(reply)
+			h.endWatch(guard)
+			if err = h.checkEnd(ctx, reply, visit.Endpoint); err == nil {
+				return h.endStream(reply)
+			}
 		}
 		if err != nil {
 			return resumable && ctx.Err() == nil, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed,
