Don't clear prompt parts because of a resumed stream without events

Requests with a prompt part that crashes endpoints reached endpoints again, and crashed them, after a caller had resumed a stream with that part.

A stream that a caller or the gateway resumes may end without a further event. The end counted as an answer and cleared the parts of the call at all gateways, though its endpoint had begun no answer, which is when such a part crashes it. An answer now clears parts only if it has an event of the run.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -80,9 +80,11 @@
 		return true, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"endpoint %s sent an answer without its stamp", e.ID())
 	}
+	received, empty := h.events, false
 	switch status := reply.Head().Status; {
 	case h.admission.Route.Stream && status == http.StatusOK:
 		retryable, err = h.relayStream(ctx, guard, reply, visit)
+		empty = h.events == received
 	case h.answerStarted:
 		retryable, err = true, errors.Mark(knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"endpoint %s answered with status %d instead of resuming the stream", e.ID(), status), errEndpointFailed)
@@ -90,7 +92,7 @@
 		retryable, err = h.copy(ctx, guard, reply, e)
 	}
 	h.endWatch(guard)
-	outcome = h.outcome(ctx, e, err)
+	outcome = h.outcome(ctx, e, err, empty)
 	return retryable, err
 }
 
@@ -130,13 +132,13 @@
 }
 
 // outcome returns the endpoint's outcome after its answer ended. A successful answer shows that the
-// call doesn't crash endpoints.
-func (h *callHandler) outcome(ctx context.Context, e *fleet.Endpoint, err error) fleet.Outcome {
+// call doesn't crash endpoints, unless it is a stream that was resumed and is empty.
+func (h *callHandler) outcome(ctx context.Context, e *fleet.Endpoint, err error, empty bool) fleet.Outcome {
 	switch {
 	case err == nil && h.status >= http.StatusInternalServerError:
 		return fleet.Failed
 	case err == nil:
-		if h.status < http.StatusMultipleChoices {
+		if h.status < http.StatusMultipleChoices && !empty {
 			h.CrashTracker.RecordAnswer(h.call)
 		}
 		return fleet.Answered
