Order the refusals and answers of a prompt part

Callers whose prompts had a sound part were refused for good once one gateway had refused the part in error: a gateway that was cut off from its peers blamed a part that only ran beside the deadly one and spread that; a gateway that started adopted the refusal and nobody probed it any more; an answer that a gateway missed while it was cut off, or that was overtaken by a refusal on its way, was lost. And when the first gateway left, the next one sent its own two probes of a deadly part.

Cause: refused parts were spread as a bare set. An adopted refusal was settled and never probed, and nothing said whether a refusal or an answer was later.

Now each part has one state: the round of its refusal, whether it was answered since, and its probes. refused(n) precedes answered(n), which precedes refused(n+1), and a merge takes the later one and the larger number of probes, so that the order of messages and their repetition don't matter. A member that is sent an earlier state sends its own with its next Sync. An answer to a part that only this member refuses yet counts for the round that the others may start from the same crashes. Only settled refusals are spread; one that other evidence can still end stays where it was made, together with its crashes, which the others get instead. The first member probes adopted parts too, with the number of probes that all members share. The states are bounded.

TestManyPromptParts and the test of the link name the new field; what they assert is unchanged.

--- a/endpoint/promptparts_test.go
+++ b/endpoint/promptparts_test.go
@@ -280,7 +280,7 @@
 	})
 	inBubble("of more refused parts than the list holds the latest stay", t, func(t *testing.T, f *promptFleet) {
 		for p := range knapweedpulley.PartFingerprint(300) {
-			f.one.Merge(knapweedpulley.SuspectReport{RefusedParts: []knapweedpulley.PartFingerprint{1000 + p}})
+			f.one.Merge(knapweedpulley.SuspectReport{PartStates: []knapweedpulley.PartState{{Part: 1000 + p, Round: 1}}})
 			time.Sleep(time.Second)
 		}
 		is.New(t).True(!f.one.IsRefused(1000))
--- a/endpoint/refusedpart.go
+++ b/endpoint/refusedpart.go
@@ -25,23 +25,26 @@
 // refusedPart is a prompt part that is refused.
 type refusedPart struct {
 	since knapweedpulley.Instant
-	// adopted is set if another member refuses the part. It is never probed from here.
+	// adopted is set if another member refuses the part.
 	adopted bool
 	// ambiguous is set if the part was refused together with others.
 	ambiguous bool
 	// nextProbe is when the next probe may be sent, probes the number of probes so far.
 	nextProbe atomic.Int64
-	probes    atomic.Int32
+	probes    atomic.Uint32
 }
 
-func newRefusedPart(since knapweedpulley.Instant, ambiguous bool) *refusedPart {
+func newRefusedPart(since knapweedpulley.Instant, ambiguous bool, probes uint32) *refusedPart {
 	r := &refusedPart{since: since, ambiguous: ambiguous}
+	r.probes.Store(probes)
 	r.nextProbe.Store(int64(since.Add(r.firstDelay())))
 	return r
 }
 
-func newAdoptedPart(since knapweedpulley.Instant) *refusedPart {
-	return &refusedPart{since: since, adopted: true}
+func newAdoptedPart(since knapweedpulley.Instant, probes uint32) *refusedPart {
+	r := newRefusedPart(since, false, probes)
+	r.adopted = true
+	return r
 }
 
 func (r *refusedPart) firstDelay() time.Duration {
@@ -58,12 +61,12 @@
 
 // mayProbe reports whether a probe may be sent now.
 func (r *refusedPart) mayProbe(now knapweedpulley.Instant) bool {
-	return !r.adopted && r.probes.Load() < maxProbes && now >= knapweedpulley.Instant(r.nextProbe.Load())
+	return r.probes.Load() < maxProbes && now >= knapweedpulley.Instant(r.nextProbe.Load())
 }
 
-// countProbe counts a probe that is sent now.
-func (r *refusedPart) countProbe(now knapweedpulley.Instant) {
-	r.probes.Add(1)
+// setProbes sets the number of probes, the last of which is sent now.
+func (r *refusedPart) setProbes(probes uint32, now knapweedpulley.Instant) {
+	r.probes.Store(probes)
 	r.nextProbe.Store(int64(now.Add(nextProbeDelay)))
 }
 
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -24,6 +24,8 @@
 	maxWeighedCrashes = 64
 	// maxRefusedParts bounds the refused prompt parts. The oldest are dropped first.
 	maxRefusedParts = 256
+	// maxPartStates bounds the prompt parts whose states are kept. The oldest are dropped first.
+	maxPartStates = 1024
 )
 
 // SuspectOptions holds the dependencies of a list of suspects.
@@ -59,10 +61,11 @@
 	crashes    map[crashID]*crash
 	crashOrder []crashID
 	refused    map[knapweedpulley.PartFingerprint]*refusedPart
+	states     *partStates
 	// notified holds, for each crash, the number of suspects in the last report
 	// that was sent to the other members. A later report can name more suspects.
 	notified map[crashID]int
-	// answered is what the other members haven't been told of yet.
+	// answered and the changes in states are what the other members haven't been told of yet.
 	answered knapweedpulley.SuspectReport
 	// synced are the members that have got all that they need to know.
 	synced knapweedpulley.Set[knapweedpulley.MemberID]
@@ -75,6 +78,7 @@
 		SuspectOptions: o,
 		crashes:        make(map[crashID]*crash),
 		refused:        make(map[knapweedpulley.PartFingerprint]*refusedPart),
+		states:         newPartStates(),
 		notified:       make(map[crashID]int),
 		synced:         make(knapweedpulley.Set[knapweedpulley.MemberID]),
 	}
@@ -122,8 +126,8 @@
 	if !mayProbe(refused, now) {
 		return false
 	}
-	for _, r := range refused {
-		r.countProbe(now)
+	for p, r := range refused {
+		r.setProbes(s.states.countProbe(p, r.probes.Load()), now)
 	}
 	return true
 }
@@ -157,8 +161,8 @@
 func (s *Suspects) Merge(r knapweedpulley.SuspectReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cleared, refused, added := s.clear(r), s.adoptRefused(r.RefusedParts), s.addCrash(r)
-	if cleared || refused || added {
+	changed, cleared, added := s.mergeStates(r.PartStates), s.clear(r), s.addCrash(r)
+	if changed || cleared || added {
 		s.update()
 	}
 }
@@ -197,25 +201,68 @@
 	}
 	for _, p := range r.AnsweredParts {
 		if s.refused[p] != nil {
-			s.Log.WithField("part", p.String()).Info("prompt part was answered; no longer refusing it")
+			s.logAnswered(p)
 			delete(s.refused, p)
+			s.states.recordAnswer(p)
 			cleared = true
 		}
 	}
 	return cleared
 }
 
-// adoptRefused adds parts that another member refuses and reports whether one of them
-// is new.
-func (s *Suspects) adoptRefused(parts []knapweedpulley.PartFingerprint) bool {
-	adopted := false
-	for _, p := range parts {
-		if s.refused[p] == nil {
-			s.refused[p] = newAdoptedPart(s.Clock.Now())
-			adopted = true
+func (s *Suspects) logAnswered(p knapweedpulley.PartFingerprint) {
+	s.Log.WithField("part", p.String()).Info("prompt part was answered; no longer refusing it")
+}
+
+// mergeStates merges the states that another member holds and reports whether one of
+// them replaces what is known here.
+func (s *Suspects) mergeStates(states []knapweedpulley.PartState) bool {
+	now := s.Clock.Now()
+	changed := false
+	for _, st := range states {
+		p := st.Part
+		later := s.states.merge(st)
+		r := s.refused[p]
+		switch {
+		case later && !st.IsRefused():
+			if r != nil {
+				s.logAnswered(p)
+			}
+			delete(s.refused, p)
+			s.clear(knapweedpulley.SuspectReport{AnsweredParts: []knapweedpulley.PartFingerprint{p}})
+		case later && r == nil:
+			s.refused[p] = newAdoptedPart(now, s.states.byPart[p].Probes)
+		case later:
+			r.adopted = true
+		}
+		if r := s.refused[p]; r != nil && r.probes.Load() < st.Probes {
+			r.setProbes(st.Probes, now)
+		}
+		changed = changed || later
+	}
+	return changed
+}
+
+// settle records the refusals that only an answer can end from now on, for the other
+// members. A refusal that other evidence may still end isn't sent to them.
+func (s *Suspects) settle() {
+	now := s.Clock.Now()
+	for p, r := range s.refused {
+		if r.isSettled(now) {
+			s.states.refuse(p)
+		}
+	}
+}
+
+// settled returns the refused parts that the other members are told of.
+func (s *Suspects) settled() map[knapweedpulley.PartFingerprint]*refusedPart {
+	settled := make(map[knapweedpulley.PartFingerprint]*refusedPart, len(s.refused))
+	for p, r := range s.refused {
+		if s.states.byPart[p].IsRefused() {
+			settled[p] = r
 		}
 	}
-	return adopted
+	return settled
 }
 
 // update judges the prompt parts anew and publishes the result. A crash is reported by
@@ -236,7 +283,7 @@
 		}
 		for _, p := range parts {
 			if refused[p] = s.refused[p]; refused[p] == nil {
-				refused[p] = newRefusedPart(now, len(parts) > 1)
+				refused[p] = newRefusedPart(now, len(parts) > 1, s.states.byPart[p].Probes)
 				s.Log.WithField("part", p.String()).WithField("crashes", crashes).
 					Warn("endpoints crashed on a prompt part and answered no request with it; refusing it")
 			}
@@ -302,6 +349,7 @@
 	})
 	for _, p := range bySince[:len(bySince)-maxRefusedParts] {
 		delete(s.refused, p)
+		s.states.drop(p)
 	}
 }
 
--- a/endpoint/suspectsync.go
+++ b/endpoint/suspectsync.go
@@ -8,26 +8,26 @@
 )
 
 // Sync sends the other members what they haven't been told of: answers that clear
-// suspects, and all that is known to a member that has just started or could not be
+// suspects, changed states of prompt parts, and all that is known to a member that has just started or could not be
 // reached. It returns once they have it or ctx ends.
 func (s *Suspects) Sync(ctx context.Context) {
 	members := s.otherMembers()
-	answered := s.takeAnswered(members)
+	changes := s.takeChanges(members)
 	var group sync.WaitGroup
 	for _, m := range members {
-		group.Go(func() { s.syncMember(ctx, m, answered) })
+		group.Go(func() { s.syncMember(ctx, m, changes) })
 	}
 	group.Wait()
 }
 
-// syncMember sends a member the answers, after all else if it isn't up to date.
-func (s *Suspects) syncMember(ctx context.Context, m knapweedpulley.Member, answered knapweedpulley.SuspectReport) {
+// syncMember sends a member the changes, after all else if it isn't up to date.
+func (s *Suspects) syncMember(ctx context.Context, m knapweedpulley.Member, changes knapweedpulley.SuspectReport) {
 	var reports []knapweedpulley.SuspectReport
 	if !s.isSynced(m) {
 		reports = s.snapshot()
 	}
-	if len(answered.AnsweredContents) > 0 || len(answered.AnsweredParts) > 0 {
-		reports = append(reports, answered)
+	if len(changes.AnsweredContents) > 0 || len(changes.AnsweredParts) > 0 || len(changes.PartStates) > 0 {
+		reports = append(reports, changes)
 	}
 	s.setSynced(m)
 	for _, r := range reports {
@@ -49,22 +49,19 @@
 	return err == nil
 }
 
-// snapshot returns the refused parts, the unexplained crashes and the answered suspects.
+// snapshot returns the states of prompt parts, the unexplained crashes and the answered suspects.
 func (s *Suspects) snapshot() []knapweedpulley.SuspectReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := knapweedpulley.SuspectReport{}
-	for p := range s.refused {
-		first.RefusedParts = append(first.RefusedParts, p)
-	}
 	var reports []knapweedpulley.SuspectReport
-	if len(first.RefusedParts) > 0 {
-		reports = append(reports, first)
+	if states := s.states.all(); len(states) > 0 {
+		reports = append(reports, knapweedpulley.SuspectReport{PartStates: states})
 	}
+	settled := s.settled()
 	v := s.view.Load()
 	for _, id := range s.crashOrder[max(0, len(s.crashOrder)-maxWeighedCrashes):] {
 		c := s.crashes[id]
-		if c.explainedBy(s.refused) {
+		if c.explainedBy(settled) {
 			continue
 		}
 		r := knapweedpulley.SuspectReport{Endpoint: id.endpoint, Start: id.start}
@@ -87,9 +84,9 @@
 	return reports
 }
 
-// takeAnswered returns the answers that the other members haven't been told of. It
-// forgets members that have left.
-func (s *Suspects) takeAnswered(members []knapweedpulley.Member) knapweedpulley.SuspectReport {
+// takeChanges returns the answers and states that the other members haven't been told of.
+// It forgets members that have left.
+func (s *Suspects) takeChanges(members []knapweedpulley.Member) knapweedpulley.SuspectReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := make(knapweedpulley.Set[knapweedpulley.MemberID], len(members))
@@ -99,9 +96,11 @@
 		}
 	}
 	s.synced = current
-	answered := s.answered
+	s.settle()
+	changes := s.answered
+	changes.PartStates = s.states.takeChanged()
 	s.answered = knapweedpulley.SuspectReport{}
-	return answered
+	return changes
 }
 
 func (s *Suspects) isSynced(m knapweedpulley.Member) bool {
--- a/link/suspects.go
+++ b/link/suspects.go
@@ -47,7 +47,7 @@
 		Parts:            encodeFingerprints(r.Parts),
 		AnsweredContents: encodeFingerprints(r.AnsweredContents),
 		AnsweredParts:    encodeFingerprints(r.AnsweredParts),
-		RefusedParts:     encodeFingerprints(r.RefusedParts),
+		PartStates:       encodePartStates(r.PartStates),
 	}
 	err := s.attempt(ctx, to.Address, message)
 	for n := 1; n < maxSuspectAttempts && err != nil && !errors.Is(err, knapweedpulley.ErrNoListener); n++ {
@@ -104,7 +104,7 @@
 		Parts:            decodeFingerprints[knapweedpulley.PartFingerprint](m.GetParts()),
 		AnsweredContents: decodeFingerprints[knapweedpulley.Fingerprint](m.GetAnsweredContents()),
 		AnsweredParts:    decodeFingerprints[knapweedpulley.PartFingerprint](m.GetAnsweredParts()),
-		RefusedParts:     decodeFingerprints[knapweedpulley.PartFingerprint](m.GetRefusedParts()),
+		PartStates:       decodePartStates(m.GetPartStates()),
 	})
 	return &linkpb.SuspectsResponse{}, nil
 }
@@ -124,3 +124,23 @@
 	}
 	return list
 }
+
+func encodePartStates(states []knapweedpulley.PartState) []*linkpb.PartState {
+	encoded := make([]*linkpb.PartState, 0, len(states))
+	for _, s := range states {
+		encoded = append(encoded, &linkpb.PartState{
+			Part: uint64(s.Part), Round: s.Round, Answered: s.Answered, Probes: s.Probes,
+		})
+	}
+	return encoded
+}
+
+func decodePartStates(encoded []*linkpb.PartState) []knapweedpulley.PartState {
+	var states []knapweedpulley.PartState
+	for _, s := range encoded {
+		states = append(states, knapweedpulley.PartState{
+			Part: knapweedpulley.PartFingerprint(s.GetPart()), Round: s.GetRound(), Answered: s.GetAnswered(), Probes: s.GetProbes(),
+		})
+	}
+	return states
+}
--- a/suspect.go
+++ b/suspect.go
@@ -31,8 +31,33 @@
 	// AnsweredContents and AnsweredParts are former suspects that an engine has answered.
 	AnsweredContents []Fingerprint
 	AnsweredParts    []PartFingerprint
-	// RefusedParts are prompt parts that are refused.
-	RefusedParts []PartFingerprint
+	// PartStates tell which prompt parts are refused, and which no longer are.
+	PartStates []PartState
+}
+
+// PartState is the state of a prompt part that is, or was, refused. Of two states of a part,
+// the one that the other precedes holds.
+type PartState struct {
+	Part PartFingerprint
+	// Round counts the refusals of the part. Answered is set if an engine has answered it
+	// since the last one.
+	Round    uint64
+	Answered bool
+	// Probes is the number of requests with the part that were sent as probes.
+	Probes uint32
+}
+
+// IsRefused reports whether requests with the part are refused.
+func (s PartState) IsRefused() bool {
+	return s.Round > 0 && !s.Answered
+}
+
+// Precedes reports whether o is a later state of the part. It ignores the probes.
+func (s PartState) Precedes(o PartState) bool {
+	if s.Round != o.Round {
+		return s.Round < o.Round
+	}
+	return !s.Answered && o.Answered
 }
 
 // SuspectList records which request contents may have crashed engines.
