Count a probe when it is sent, and return one that did not run

Callers with a sound part that had been refused in error stayed refused for good if both probes were lost to endpoints that were full or to a customer's limit. And one probe of a deadly part could reach three endpoints.

Cause: the call counted its probe on arrival, before it was charged and had an endpoint, and stayed a probe for as long as no endpoint had run it.

On arrival the call now only asks whether it may be a probe. The probe is counted when its attempt begins, right before the send, and lasts for that attempt. If the endpoint says that it did not run the call, or could not be reached, the probe is returned. A refused probe has reached an endpoint nonetheless, so one probe of a part is returned at most: no more than three requests reach endpoints. The number of returned probes only grows and is merged like that of the probes.

--- a/endpoint/partstates.go
+++ b/endpoint/partstates.go
@@ -48,15 +48,17 @@
 	held := p.byPart[st.Part]
 	held.Part = st.Part
 	later := held.Precedes(st)
-	if st.Precedes(held) || st.Probes < held.Probes {
-		p.changed.Add(st.Part)
+	merged := held
+	if later {
+		merged = st
+	}
+	merged.Probes = max(st.Probes, held.Probes)
+	merged.ReturnedProbes = max(st.ReturnedProbes, held.ReturnedProbes)
+	if merged != held {
+		p.set(merged)
 	}
-	if later || st.Probes > held.Probes {
-		st.Probes = max(st.Probes, held.Probes)
-		if !later {
-			st.Round, st.Answered = held.Round, held.Answered
-		}
-		p.set(st)
+	if merged != st {
+		p.changed.Add(st.Part)
 	}
 	return later
 }
@@ -64,7 +66,7 @@
 // refuse starts a refusal of a part that isn't refused.
 func (p *partStates) refuse(part knapweedpulley.PartFingerprint) {
 	if st := p.byPart[part]; !st.IsRefused() {
-		p.change(knapweedpulley.PartState{Part: part, Round: st.Round + 1, Probes: st.Probes})
+		p.change(knapweedpulley.PartState{Part: part, Round: st.Round + 1, Probes: st.Probes, ReturnedProbes: st.ReturnedProbes})
 	}
 }
 
@@ -79,12 +81,29 @@
 	p.change(st)
 }
 
-// countProbe counts a probe of a part after at least that many, and returns their number.
-func (p *partStates) countProbe(part knapweedpulley.PartFingerprint, before uint32) uint32 {
+// countProbe counts a probe of a part.
+func (p *partStates) countProbe(part knapweedpulley.PartFingerprint) {
 	st := p.byPart[part]
-	st.Part, st.Probes = part, max(st.Probes, before)+1
+	st.Part = part
+	st.Probes++
 	p.change(st)
-	return st.Probes
+}
+
+// returnProbe returns a probe of a part, and reports whether it may be.
+func (p *partStates) returnProbe(part knapweedpulley.PartFingerprint) bool {
+	st := p.byPart[part]
+	if st.ReturnedProbes >= min(st.Probes, maxReturnedProbes) {
+		return false
+	}
+	st.ReturnedProbes++
+	p.change(st)
+	return true
+}
+
+// countedProbes returns the number of probes of a part that weren't returned.
+func (p *partStates) countedProbes(part knapweedpulley.PartFingerprint) uint32 {
+	st := p.byPart[part]
+	return st.Probes - min(st.Probes, st.ReturnedProbes)
 }
 
 // change replaces the state of a part, for the other members as well.
--- a/endpoint/partstates_test.go
+++ b/endpoint/partstates_test.go
@@ -202,6 +202,22 @@
 	})
 }
 
+func TestReturnedProbe(t *testing.T) {
+	inBubble("one probe that didn't run is made up for, and no more", t, func(t *testing.T, f *promptFleet) {
+		f.crashUntilRefused(t)
+		probes := 0
+		for range 3600 {
+			if f.one.TryProbe([]knapweedpulley.PartFingerprint{system, deadly}) {
+				probes++
+				f.one.ReturnProbe([]knapweedpulley.PartFingerprint{system, deadly})
+			}
+			f.sync(t)
+			time.Sleep(time.Second)
+		}
+		is.New(t).Equal(probes, 3)
+	})
+}
+
 func TestConcurrentReports(t *testing.T) {
 	p := peers{}
 	entries := []*endpoint.Suspects{newSuspects(pairMembership{0}, p), newSuspects(pairMembership{1}, p)}
--- a/endpoint/refusedpart.go
+++ b/endpoint/refusedpart.go
@@ -13,6 +13,9 @@
 	firstProbeDelay = 6 * time.Second
 	nextProbeDelay  = time.Minute
 	maxProbes       = 2
+	// maxReturnedProbes is the number of a part's probes that may be returned. One that an
+	// endpoint refused has still reached it.
+	maxReturnedProbes = 1
 	// ambiguousProbeDelay replaces firstProbeDelay for parts that can't be told apart.
 	ambiguousProbeDelay = time.Second
 	// jointProbeDelay is the time after which a request with several refused parts can
@@ -29,7 +32,8 @@
 	adopted bool
 	// ambiguous is set if the part was refused together with others.
 	ambiguous bool
-	// nextProbe is when the next probe may be sent, probes the number of probes so far.
+	// nextProbe is when the next probe may be sent, probes the number of probes so far
+	// that weren't returned.
 	nextProbe atomic.Int64
 	probes    atomic.Uint32
 }
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -106,10 +106,46 @@
 // TryProbe implements knapweedpulley.PromptSuspectList. Only the first member of the
 // group probes.
 func (s *Suspects) TryProbe(parts []knapweedpulley.PartFingerprint) bool {
+	if !s.MayProbe(parts) {
+		return false
+	}
+	refused := s.refusedOf(parts)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	if len(refused) == 0 || !mayProbe(refused, now) {
+		return false
+	}
+	for p, r := range refused {
+		s.states.countProbe(p)
+		r.setProbes(s.states.countedProbes(p), now)
+	}
+	return true
+}
+
+// ReturnProbe implements knapweedpulley.PromptSuspectList.
+func (s *Suspects) ReturnProbe(parts []knapweedpulley.PartFingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range parts {
+		if r := s.refused[p]; r != nil && s.states.returnProbe(p) {
+			r.probes.Store(s.states.countedProbes(p))
+		}
+	}
+}
+
+// MayProbe implements knapweedpulley.PromptSuspectList.
+func (s *Suspects) MayProbe(parts []knapweedpulley.PartFingerprint) bool {
 	members := s.Group.Members()
 	if len(members) == 0 || members[0].Entry != s.Group.Self().Entry {
 		return false
 	}
+	refused := s.refusedOf(parts)
+	return len(refused) > 0 && mayProbe(refused, s.Clock.Now())
+}
+
+// refusedOf returns the parts that are refused.
+func (s *Suspects) refusedOf(parts []knapweedpulley.PartFingerprint) map[knapweedpulley.PartFingerprint]*refusedPart {
 	known := s.view.Load().refused
 	refused := make(map[knapweedpulley.PartFingerprint]*refusedPart)
 	for _, p := range parts {
@@ -117,19 +153,7 @@
 			refused[p] = r
 		}
 	}
-	if len(refused) == 0 || !mayProbe(refused, s.Clock.Now()) {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	if !mayProbe(refused, now) {
-		return false
-	}
-	for p, r := range refused {
-		r.setProbes(s.states.countProbe(p, r.probes.Load()), now)
-	}
-	return true
+	return refused
 }
 
 // RecordAnswer implements knapweedpulley.PromptSuspectList.
@@ -231,12 +255,16 @@
 			delete(s.refused, p)
 			s.clear(knapweedpulley.SuspectReport{AnsweredParts: []knapweedpulley.PartFingerprint{p}})
 		case later && r == nil:
-			s.refused[p] = newAdoptedPart(now, s.states.byPart[p].Probes)
+			s.refused[p] = newAdoptedPart(now, s.states.countedProbes(p))
 		case later:
 			r.adopted = true
 		}
-		if r := s.refused[p]; r != nil && r.probes.Load() < st.Probes {
-			r.setProbes(st.Probes, now)
+		if r := s.refused[p]; r != nil {
+			if n := s.states.countedProbes(p); n > r.probes.Load() {
+				r.setProbes(n, now)
+			} else {
+				r.probes.Store(n)
+			}
 		}
 		changed = changed || later
 	}
@@ -283,7 +311,7 @@
 		}
 		for _, p := range parts {
 			if refused[p] = s.refused[p]; refused[p] == nil {
-				refused[p] = newRefusedPart(now, len(parts) > 1, s.states.byPart[p].Probes)
+				refused[p] = newRefusedPart(now, len(parts) > 1, s.states.countedProbes(p))
 				s.Log.WithField("part", p.String()).WithField("crashes", crashes).
 					Warn("endpoints crashed on a prompt part and answered no request with it; refusing it")
 			}
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -50,8 +50,10 @@
 	// attempt. moved is set from then on.
 	next  *fleet.ActiveRequest
 	moved bool
-	// probe is set if the call may run though a part of its prompt is refused.
-	probe bool
+	// probe is set during an attempt that is made though a part of the prompt is refused, probed
+	// from then on.
+	probe  bool
+	probed bool
 	// answerStarted is set when writing of the answer to the caller begins. lastEventID is the
 	// id of the last event that the caller has received.
 	answerStarted bool
@@ -119,6 +121,7 @@
 			return h.finalError(err)
 		}
 		retryable, err := h.send(ctx, visit)
+		h.endProbe(err)
 		if err == nil || !retryable {
 			h.notRetried = endReason(ctx, err)
 			return h.finalError(err)
@@ -143,7 +146,7 @@
 	}
 	err := h.readmit()
 	if err == nil {
-		err = h.checkSuspects()
+		err = h.checkAttempt()
 	}
 	if err != nil {
 		visit.End(fleet.Inconclusive)
@@ -166,20 +169,37 @@
 	}
 }
 
-// checkSuspects refuses the call if it is believed to crash endpoints, unless it is a probe that has
-// not run yet.
+// checkSuspects refuses the call if it is believed to crash endpoints, unless it may be sent as a
+// probe.
 func (h *callHandler) checkSuspects() error {
 	err := h.CrashTracker.Check(h.call)
-	if err == nil || h.possibleRuns > 0 {
-		return err
-	}
-	h.probe = h.probe || h.CrashTracker.TryProbe(h.call)
-	if h.probe {
+	suspects := h.CrashTracker.suspectList
+	if err != nil && suspects.State(h.call.Fingerprint) != knapweedpulley.SuspectRefuse &&
+		suspects.MayProbe(h.call.SharedFingerprints()) {
 		return nil
 	}
 	return err
 }
 
+// checkAttempt refuses the next attempt if the call is believed to crash endpoints, unless it is sent
+// as a probe. A call is a probe in one attempt only, and never if it may have run.
+func (h *callHandler) checkAttempt() error {
+	err := h.CrashTracker.Check(h.call)
+	if err == nil || h.possibleRuns > 0 || h.probed || !h.CrashTracker.TryProbe(h.call) {
+		return err
+	}
+	h.probe, h.probed = true, true
+	return nil
+}
+
+// endProbe ends the attempt that was a probe, and returns the probe if the call has not run.
+func (h *callHandler) endProbe(err error) {
+	if h.probe && err != nil && h.possibleRuns == 0 && knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
+		h.CrashTracker.suspectList.ReturnProbe(h.call.SharedFingerprints())
+	}
+	h.probe = false
+}
+
 // finalError returns the error of the whole call, derived from that of the last attempt. Its
 // verdict takes all attempts into account.
 func (h *callHandler) finalError(err error) error {
--- a/link/suspects.go
+++ b/link/suspects.go
@@ -129,7 +129,7 @@
 	encoded := make([]*linkpb.PartState, 0, len(states))
 	for _, s := range states {
 		encoded = append(encoded, &linkpb.PartState{
-			Part: uint64(s.Part), Round: s.Round, Answered: s.Answered, Probes: s.Probes,
+			Part: uint64(s.Part), Round: s.Round, Answered: s.Answered, Probes: s.Probes, ReturnedProbes: s.ReturnedProbes,
 		})
 	}
 	return encoded
@@ -139,7 +139,8 @@
 	var states []knapweedpulley.PartState
 	for _, s := range encoded {
 		states = append(states, knapweedpulley.PartState{
-			Part: knapweedpulley.PartFingerprint(s.GetPart()), Round: s.GetRound(), Answered: s.GetAnswered(), Probes: s.GetProbes(),
+			Part: knapweedpulley.PartFingerprint(s.GetPart()), Round: s.GetRound(), Answered: s.GetAnswered(),
+			Probes: s.GetProbes(), ReturnedProbes: s.GetReturnedProbes(),
 		})
 	}
 	return states
--- a/link/suspects_test.go
+++ b/link/suspects_test.go
@@ -56,7 +56,7 @@
 		Parts:            []knapweedpulley.PartFingerprint{1, 2},
 		AnsweredContents: []knapweedpulley.Fingerprint{3},
 		AnsweredParts:    []knapweedpulley.PartFingerprint{4},
-		PartStates:       []knapweedpulley.PartState{{Part: 5, Round: 2, Answered: true, Probes: 1}},
+		PartStates:       []knapweedpulley.PartState{{Part: 5, Round: 2, Answered: true, Probes: 2, ReturnedProbes: 1}},
 	}
 	is.NoErr(sender.SendSuspects(ctx, to, second))
 	is.Equal(<-received.reports, second)
--- a/suspect.go
+++ b/suspect.go
@@ -45,6 +45,8 @@
 	Answered bool
 	// Probes is the number of requests with the part that were sent as probes.
 	Probes uint32
+	// ReturnedProbes is the number of these that no engine ran.
+	ReturnedProbes uint32
 }
 
 // IsRefused reports whether requests with the part are refused.
@@ -75,9 +77,14 @@
 	SuspectList
 	// IsRefused reports whether requests with a prompt part are refused.
 	IsRefused(p PartFingerprint) bool
+	// MayProbe reports whether TryProbe would allow a request now.
+	MayProbe(parts []PartFingerprint) bool
 	// TryProbe reports whether a request may be sent now, though some of its parts are
-	// refused, to find out whether they still crash engines.
+	// refused, to find out whether they still crash engines. It counts the probe.
 	TryProbe(parts []PartFingerprint) bool
+	// ReturnProbe records that no engine ran the request of a probe, so that another one may
+	// be sent. Once a part's probe has been returned, its others count.
+	ReturnProbe(parts []PartFingerprint)
 	// RecordAnswer records that an engine has answered a request to its end, which
 	// clears its content and parts.
 	RecordAnswer(f Fingerprint, parts []PartFingerprint)
