--- a/suspect.go
+++ b/suspect.go
@@ -31,8 +31,35 @@
 	// AnsweredContents and AnsweredParts are former suspects that an engine has answered.
 	AnsweredContents []Fingerprint
 	AnsweredParts    []PartFingerprint
-	// RefusedParts are prompt parts that are refused.
-	RefusedParts []PartFingerprint
+	// PartStates tell which prompt parts are refused, and which no longer are.
+	PartStates []PartState
+}
+
+// PartState is the state of a prompt part that is, or was, refused. Of two states of a part,
+// the one that the other precedes holds.
+type PartState struct {
+	Part PartFingerprint
+	// Round counts the refusals of the part. Answered is set if an engine has answered it
+	// since the last one.
+	Round    uint64
+	Answered bool
+	// Probes is the number of requests with the part that were sent as probes.
+	Probes uint32
+	// ReturnedProbes is the number of these that no engine ran.
+	ReturnedProbes uint32
+}
+
+// IsRefused reports whether requests with the part are refused.
+func (s PartState) IsRefused() bool {
+	return s.Round > 0 && !s.Answered
+}
+
+// Precedes reports whether o is a later state of the part. It ignores the probes.
+func (s PartState) Precedes(o PartState) bool {
+	if s.Round != o.Round {
+		return s.Round < o.Round
+	}
+	return !s.Answered && o.Answered
 }
 
 // SuspectList records which request contents may have crashed engines.
@@ -50,9 +77,14 @@
 	SuspectList
 	// IsRefused reports whether requests with a prompt part are refused.
 	IsRefused(p PartFingerprint) bool
+	// MayProbe reports whether TryProbe would allow a request now.
+	MayProbe(parts []PartFingerprint) bool
 	// TryProbe reports whether a request may be sent now, though some of its parts are
-	// refused, to find out whether they still crash engines.
+	// refused, to find out whether they still crash engines. It counts the probe.
 	TryProbe(parts []PartFingerprint) bool
+	// ReturnProbe records that no engine ran the request of a probe, so that another one may
+	// be sent. Once a part's probe has been returned, its others count.
+	ReturnProbe(parts []PartFingerprint)
 	// RecordAnswer records that an engine has answered a request to its end, which
 	// clears its content and parts.
 	RecordAnswer(f Fingerprint, parts []PartFingerprint)
