--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -21,10 +21,11 @@
 	answerCheckTimeout = 200 * time.Millisecond
 	// maxTrackedCrashes bounds the number of crashes whose suspects are kept.
 	maxTrackedCrashes = 256
-	// maxCallParts bounds the prompt parts of one call that become suspects, maxReported the
-	// contents and the prompt parts of one crash.
-	maxCallParts = 64
-	maxReported  = 512
+	// maxCallParts bounds the prompt parts of one call that become suspects. maxContents and maxParts
+	// bound the contents and the prompt parts of one crash.
+	maxCallParts = 256
+	maxContents  = 512
+	maxParts     = 1024
 	// maxLoggedParts bounds the prompt parts in one log line.
 	maxLoggedParts = 16
 )
@@ -136,20 +137,20 @@
 	}
 	r := c.crashes[id]
 	r.Endpoint, r.Start = id.endpoint, id.start
-	r.Fingerprints = appendNew(r.Fingerprints, call.Fingerprint)
+	r.Fingerprints = appendNew(r.Fingerprints, maxContents, call.Fingerprint)
 	parts := call.SharedFingerprints()
-	r.Parts = appendNew(r.Parts, parts[:min(len(parts), maxCallParts)]...)
+	r.Parts = appendNew(r.Parts, maxParts, parts[:min(len(parts), maxCallParts)]...)
 	r.Isolated = len(r.Fingerprints) == 1
 	c.crashes[id] = r
 	return r
 }
 
 // appendNew returns a new list of the values of list and those of added that aren't in it, each
-// once and at most maxReported altogether.
-func appendNew[T comparable](list []T, added ...T) []T {
+// once and at most limit altogether.
+func appendNew[T comparable](list []T, limit int, added ...T) []T {
 	list = slices.Clone(list)
 	for _, v := range added {
-		if len(list) < maxReported && !slices.Contains(list, v) {
+		if len(list) < limit && !slices.Contains(list, v) {
 			list = append(list, v)
 		}
 	}
