Test that a refusal reaches a member that was cut off once it is settled

Since only settled refusals are spread, a member that was cut off or has just started gets a refusal that is younger than three seconds with the sync after it is settled, not at once as before. The test bounds that delay.

--- a/endpoint/partstates_test.go
+++ b/endpoint/partstates_test.go
@@ -164,7 +164,21 @@
 	})
 }
 
-func TestPartIsRefusedAgain(t *testing.T) {
+func TestDeadlyPartIsRefusedEverywhere(t *testing.T) {
+	inBubble("a part at an entry that was cut off until shortly after the refusal", t, func(t *testing.T, f *promptFleet) {
+		f.cut = true
+		for i := range 5 {
+			reportCrash(t, f.one, i, deadly, sound)
+			time.Sleep(time.Second)
+		}
+		f.one.RecordAnswer(0, []knapweedpulley.PartFingerprint{sound})
+		f.cut = false
+		f.sync(t)
+		time.Sleep(2 * time.Second)
+		f.sync(t)
+		assertRefused(t, f, deadly, true)
+		assertRefused(t, f, sound, false)
+	})
 	inBubble("a part that crashes endpoints after its answer", t, func(t *testing.T, f *promptFleet) {
 		f.crashUntilRefused(t)
 		f.one.RecordAnswer(0, []knapweedpulley.PartFingerprint{deadly})
