Check again for crashes, and without the caller

Requests that crash endpoints were sent on, as some crashes were held against nobody: those of an endpoint whose port closed some milliseconds after its connections, and those in exchanges whose caller had disconnected or whose deadline had passed. After 256 crashes, the suspects of all were forgotten.

A broken exchange was checked once, at once. An exchange that ended because of its caller or deadline wasn't checked at all. The tracked crashes were cleared when there were too many.

The first check stays before the retry. If the endpoint still accepts connections then, it is checked once more after 50 ms, off the caller's path. An exchange without its caller gets only that later check. At most 64 such checks are due at once; further ones are left out. Of the tracked crashes, the oldest is dropped.

The fixture of the deployment waits until these checks have ended, as a synctest bubble must not end before them.

--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -19,6 +19,11 @@
 	crashReportTimeout = time.Second
 	// answerCheckTimeout bounds the check for a crash while an answer is held back.
 	answerCheckTimeout = 200 * time.Millisecond
+	// recheckDelay is the time after which an endpoint that still accepted connections is checked
+	// again. A process that is killed may close its connections before its port.
+	recheckDelay = 50 * time.Millisecond
+	// maxRechecks bounds the number of such checks at once.
+	maxRechecks = 64
 	// maxTrackedCrashes bounds the number of crashes whose suspects are kept.
 	maxTrackedCrashes = 256
 	// maxCallParts bounds the prompt parts of one call that become suspects. maxContents and maxParts
@@ -45,8 +50,13 @@
 	fleet       *fleet.Fleet
 	log         log.Interface
 
+	// rechecks has an element for each check that is due or in progress.
+	rechecks chan struct{}
+
 	mu      sync.Mutex
 	crashes map[crashID]knapweedpulley.SuspectReport
+	// crashOrder holds the keys of crashes, the oldest first.
+	crashOrder []crashID
 }
 
 // NewCrashTracker returns a tracker that reports to a suspect list.
@@ -55,7 +65,7 @@
 ) *CrashTracker {
 	return &CrashTracker{
 		suspectList: suspectList, exchanger: exchanger, fleet: fleet, log: log,
-		crashes: make(map[crashID]knapweedpulley.SuspectReport),
+		rechecks: make(chan struct{}, maxRechecks), crashes: make(map[crashID]knapweedpulley.SuspectReport),
 	}
 }
 
@@ -100,13 +110,35 @@
 
 // HandleBrokenExchange checks whether an endpoint has crashed after an exchange with it broke off.
 // If so, it removes the endpoint from the fleet and reports the content of the call before it
-// returns.
+// returns. Otherwise it has the endpoint checked once more later.
 func (c *CrashTracker) HandleBrokenExchange(e *fleet.Endpoint, call *knapweedpulley.Call) {
+	if !c.reportCrash(e, call) {
+		c.CheckLater(e, call)
+	}
+}
+
+// CheckLater checks after recheckDelay whether an endpoint that ran a call has crashed, and reports
+// that, unless maxRechecks such checks are due already.
+func (c *CrashTracker) CheckLater(e *fleet.Endpoint, call *knapweedpulley.Call) {
+	select {
+	case c.rechecks <- struct{}{}:
+	default:
+		return
+	}
+	time.AfterFunc(recheckDelay, func() {
+		defer func() { <-c.rechecks }()
+		c.reportCrash(e, call)
+	})
+}
+
+// reportCrash reports a call that an endpoint ran if the endpoint refuses connections, and whether
+// it does.
+func (c *CrashTracker) reportCrash(e *fleet.Endpoint, call *knapweedpulley.Call) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 	defer cancel()
 	entry := e.Registration()
 	if !c.exchanger.RefusesConnections(ctx, entry.Address) {
-		return
+		return false
 	}
 	c.fleet.MarkUnreachable(e)
 	id := crashID{endpoint: e.ID(), start: entry.Start}
@@ -115,6 +147,7 @@
 		WithField("content", call.Fingerprint).WithField("parts", partNames(call)).
 		WithField("suspects", len(report.Fingerprints)).Warn("endpoint crashed while running a request; reporting the contents that it ran")
 	c.suspectList.Report(ctx, report)
+	return true
 }
 
 // partNames returns the ids of the first shared parts of a call's prompt, for the log.
@@ -132,10 +165,14 @@
 func (c *CrashTracker) addSuspect(id crashID, call *knapweedpulley.Call) knapweedpulley.SuspectReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.crashes) >= maxTrackedCrashes {
-		clear(c.crashes)
+	r, known := c.crashes[id]
+	if !known {
+		c.crashOrder = append(c.crashOrder, id)
+	}
+	if len(c.crashOrder) > maxTrackedCrashes {
+		delete(c.crashes, c.crashOrder[0])
+		c.crashOrder = c.crashOrder[1:]
 	}
-	r := c.crashes[id]
 	r.Endpoint, r.Start = id.endpoint, id.start
 	r.Fingerprints = appendNew(r.Fingerprints, maxContents, call.Fingerprint)
 	parts := call.SharedFingerprints()
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -60,6 +60,7 @@
 		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.Update,
 	})
 	t.Cleanup(func() {
+		time.Sleep(time.Second + d.crashCheckTime) // checks for crashes in the background end
 		closeFollower()
 		closePlacer()
 		closeDemand()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -151,9 +151,12 @@
 
 // judgeFailure returns the endpoint's outcome after a broken exchange, and handles a possible
 // crash. An exchange that ended because of the caller or the deadline isn't held against the
-// endpoint.
+// endpoint, which may have crashed nevertheless.
 func (h *callHandler) judgeFailure(ctx context.Context, e *fleet.Endpoint, err error) fleet.Outcome {
 	if ctx.Err() != nil || errors.Is(err, errCallerWrite) {
+		if knapweedpulley.VerdictOf(err) != knapweedpulley.NotRun {
+			h.CrashTracker.CheckLater(e, h.call)
+		}
 		return fleet.Inconclusive
 	}
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun {
