--- a/endpoint/suspectsync.go
+++ b/endpoint/suspectsync.go
@@ -8,8 +8,8 @@
 )
 
 // Sync sends the other members what they haven't been told of: answers that clear
-// suspects, changed states of prompt parts, and all that is known to a member that has just started or could not be
-// reached. It returns once they have it or ctx ends.
+// suspects, changed states of prompt parts, and all that is known to a member that has
+// just started or could not be reached. It returns once they have it or ctx ends.
 func (s *Suspects) Sync(ctx context.Context) {
 	members := s.otherMembers()
 	changes := s.takeChanges(members)
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -229,7 +229,7 @@
 
 // denyRetry returns why the call may not be sent again after a failed attempt. If it may, it takes
 // the retry from the budget and returns nothing. A call that the gateway has moved away from an
-// endpoint that was still at work is not given up because of refusals or the budget.
+// endpoint that was still at work may be refused more often, and waits for the budget.
 func (h *callHandler) denyRetry(ctx context.Context, err error) string {
 	if h.remaining() < minSendTime {
 		return "deadline"
