--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
 	"early-answer": earlyAnswer,
 	"late-order":   lateOrder,
+	"refused":      refusedForGood,
 }
 
 func main() {
