--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 // cases lists the cases by name. A case returns a description of each breach of its rule.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
 	"early-answer": earlyAnswer,
+	"cut-off":      cutOff,
 	"late-order":   lateOrder,
 	"refused":      refusedForGood,
 }
