--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -116,7 +116,7 @@
 	var breaches []string
 	var group sync.WaitGroup
 	answered := 0
-	for n := range 5 {
+	for n := range 10 {
 		group.Go(func() {
 			id := fmt.Sprintf("%016x", 0x9c41d07be2a35f00+uint64(n))
 			status, stamp, body, err := post(g.callers, "/puxa403/2f", id, longBody)
