--- a/review/standin/lateorder.go
+++ b/review/standin/lateorder.go
@@ -50,6 +50,12 @@
 	born   int64
 	seq    uint64
 	busy   bool
+	// onDisk lists the models on the server's disk.
+	onDisk []string
+	// loadTime is how long a load takes.
+	loadTime time.Duration
+	// onRun is called with each request that the server runs, unless it is nil.
+	onRun func(r *http.Request)
 	// models holds the adapters of each model that is present.
 	models map[string][]string
 	// loseNext is set if the next load of this model is left unanswered and carried out later.
@@ -104,7 +110,7 @@
 }
 
 func (s *orderServer) atHand() map[string]any {
-	return map[string]any{"inMemory": []string{}, "onDisk": []string{"m0", "m1", "m2", "m3"}}
+	return map[string]any{"inMemory": []string{}, "onDisk": s.onDisk}
 }
 
 func (s *orderServer) entries() []map[string]any {
@@ -187,7 +193,7 @@
 		}
 		s.busy = true
 		born := s.born
-		time.AfterFunc(diskLoad, func() {
+		time.AfterFunc(s.loadTime, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if s.born == born {
@@ -216,6 +222,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.onRun != nil {
+		s.onRun(r)
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("X-Server-Stamp", s.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -224,7 +233,8 @@
 
 // lateOrder checks rule LIMIT where an order is carried out late, after the server has restarted.
 func lateOrder(d *deployment, trouble bool) ([]string, error) {
-	s := &orderServer{record: d.record, store: d.store, id: "i-1", address: d.ip(30, 1) + ":8080", lost: make(chan order, 1)}
+	s := &orderServer{record: d.record, store: d.store, id: "i-1", address: d.ip(30, 1) + ":8080", onDisk: []string{"m0", "m1", "m2", "m3"},
+		loadTime: diskLoad, lost: make(chan order, 1)}
 	if err := s.start("m0"); err != nil {
 		return nil, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"cut-off":      cutOff,
 	"late-order":   lateOrder,
 	"refused":      refusedForGood,
+	"moved-key":    movedKey,
 }
 
 func main() {
