--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd) || exit 2
 [ -x "$root/review/.build/standin" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$root/review/.build/standin" late-order "$root" "$PWD/record.txt"
+exec "$root/review/.build/standin" moved-key "$root" "$PWD/record.txt"
--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -119,6 +119,7 @@
 	for n := range 10 {
 		group.Go(func() {
 			id := fmt.Sprintf("%016x", 0x9c41d07be2a35f00+uint64(n))
+			d.record.printf("client sends %s with a body of %d bytes", id, longBody)
 			status, stamp, body, err := post(g.callers, "/puxa403/2f", id, longBody)
 			d.record.printf("client of %s gets status %d, stamp %q, %d bytes, error %v", id, status, stamp, len(body), err)
 			mu.Lock()
--- a/review/standin/lateorder.go
+++ b/review/standin/lateorder.go
@@ -19,7 +19,7 @@
 	adapterMb  = 12.0
 	diskLoad   = 990 * time.Millisecond
 	downTime   = 2 * time.Second
-	lateAfter  = 9 * time.Second
+	lateAfter  = 10 * time.Second
 	lateNumber = 3
 )
 
@@ -57,12 +57,8 @@
 	// onRun is called with each request that the server runs, unless it is nil.
 	onRun func(r *http.Request)
 	// models holds the adapters of each model that is present.
-	models map[string][]string
-	// loseNext is set if the next load of this model is left unanswered and carried out later.
-	loseNext string
-	lost     chan order
+	models   map[string][]string
 	breaches []string
-	crashed  bool
 }
 
 func (s *orderServer) start(models ...string) error {
@@ -150,14 +146,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.loseNext != "" && o.OpType == "load" && o.Model == s.loseNext && o.Adapter == "" {
-		s.loseNext = ""
-		s.record.printf("server %s leaves the order unanswered, on its way: %v", s.id, o)
-		s.mu.Unlock()
-		s.lost <- o
-		<-r.Context().Done()
-		return
-	}
 	status := s.carryOut(o)
 	s.mu.Unlock()
 	w.WriteHeader(status)
@@ -231,10 +219,69 @@
 	_, _ = fmt.Fprintf(w, "id: 1\ndata: tokens of %s\n\n", id)
 }
 
+// orderDelay forwards channels from a keeper to its server. It can delay one channel: that of the next
+// order to load a model.
+type orderDelay struct {
+	record *record
+	target string
+	mu     sync.Mutex
+	// model is that of the next order to delay, empty if none is.
+	model string
+	delay time.Duration
+	// delayed is closed when an order is being delayed.
+	delayed chan struct{}
+}
+
+func (p *orderDelay) serve(client net.Conn) {
+	defer func() { _ = client.Close() }()
+	first := make([]byte, 64<<10)
+	n, err := client.Read(first)
+	if err != nil {
+		return
+	}
+	if p.delays(string(first[:n])) {
+		// The keeper gives the order up and closes the channel; its bytes are on their way.
+		p.record.printf("an order to load a model is delayed on its way")
+		time.Sleep(p.delay)
+		p.record.printf("the order arrives that was delayed")
+	}
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = server.Close() }()
+	if _, err := server.Write(first[:n]); err != nil {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = io.Copy(server, client)
+		_ = server.(*net.TCPConn).CloseWrite()
+	}()
+	_, _ = io.Copy(client, server)
+	_ = client.Close()
+	<-done
+}
+
+// delays reports whether a channel that begins with the given bytes is delayed.
+func (p *orderDelay) delays(first string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.model == "" || !strings.HasPrefix(first, "POST /api/order") || !strings.Contains(first, `"model":"`+p.model+`"`) {
+		return false
+	}
+	p.model = ""
+	close(p.delayed)
+	return true
+}
+
 // lateOrder checks rule LIMIT where an order is carried out late, after the server has restarted.
 func lateOrder(d *deployment, trouble bool) ([]string, error) {
-	s := &orderServer{record: d.record, store: d.store, id: "i-1", address: d.ip(30, 1) + ":8080", onDisk: []string{"m0", "m1", "m2", "m3"},
-		loadTime: diskLoad, lost: make(chan order, 1)}
+	s := &orderServer{
+		record: d.record, store: d.store, id: "i-1", address: d.ip(30, 1) + ":8080", onDisk: []string{"m0", "m1", "m2", "m3"},
+		loadTime: diskLoad,
+	}
 	if err := s.start("m0"); err != nil {
 		return nil, err
 	}
@@ -252,7 +299,23 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []map[string]any{{"name": "hule930", "apiKeys": []string{"key-1"}, "priority": 1}},
 	})
-	k, err := d.newKeeper(1, d.ip(30, 1), s.address)
+	p := &orderDelay{record: d.record, target: s.address, delay: lateAfter, delayed: make(chan struct{})}
+	path := d.ip(30, 2) + ":8080"
+	listener, err := net.Listen("tcp", path)
+	if err != nil {
+		return nil, err
+	}
+	d.closers = append(d.closers, func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	k, err := d.newKeeper(1, d.ip(30, 1), path)
 	if err != nil {
 		return nil, err
 	}
@@ -306,35 +369,30 @@
 		s.mu.Unlock()
 		return nil, fmt.Errorf("the server is at seq %d before the order, want %d", s.seq, lateNumber)
 	}
+	s.mu.Unlock()
 	if trouble {
-		s.loseNext = "m2"
+		p.mu.Lock()
+		p.model = "m2"
+		p.mu.Unlock()
 	}
-	s.mu.Unlock()
 	send("m2")
 	if trouble {
-		var late order
 		select {
-		case late = <-s.lost:
-		case <-time.After(5 * time.Second):
+		case <-p.delayed:
+		default:
 			return nil, fmt.Errorf("the server got no order to load m2")
 		}
-		due := time.After(lateAfter)
 		s.crash()
-		time.Sleep(downTime)
+	}
+	time.Sleep(downTime)
+	if trouble {
 		if err := s.start(); err != nil {
 			return nil, err
 		}
-		send("m3")
-		use(used, "m3")
-		<-due
-		s.mu.Lock()
-		d.record.printf("the order that was left unanswered is carried out, if its precondition holds")
-		s.carryOut(late)
-		s.mu.Unlock()
-	} else {
-		send("m3")
-		time.Sleep(lateAfter)
 	}
+	send("m3")
+	use(used, "m3")
+	time.Sleep(lateAfter)
 	time.Sleep(time.Second)
 	if answered.Load() < 5 {
 		return nil, fmt.Errorf("only %d requests were answered", answered.Load())
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -39,8 +39,6 @@
 	conns   map[net.Conn]struct{}
 	// running counts the requests that run, by method.
 	running map[string]int
-	// onArrival is called with the id of each request that the server runs, unless it is nil.
-	onArrival func(id string)
 }
 
 func (s *plainServer) start() error {
@@ -94,9 +92,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.onArrival != nil {
-		s.onArrival(id)
-	}
+	s.record.printf("server %s runs %s %s", s.id, r.Method, id)
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
 	s.running[r.Method]++
@@ -254,6 +250,8 @@
 			})
 			d.record.printf("server %s is back", s.id)
 		}
+	} else {
+		time.Sleep(crashDown)
 	}
 	time.Sleep(steadyAfter)
 	steady.Store(true)
