--- a/review/standin/movedkey.go
+++ b/review/standin/movedkey.go
@@ -16,8 +16,8 @@
 	keyConfigApply = 2 * time.Second
 )
 
-// movedKey checks rule UNASKED for a key that another tenant gets while a request with it waits for a
-// model.
+// movedKey checks rule UNASKED for the key of a tenant that is merged into another while a request with
+// the key waits for a model.
 func movedKey(d *deployment, trouble bool) ([]string, error) {
 	var mu sync.Mutex
 	var confirmed time.Time
@@ -44,7 +44,7 @@
 	stop := make(chan struct{})
 	d.closers = append(d.closers, func() { close(stop) })
 	go s.beat(stop)
-	configure := func(version int, first, second []string) {
+	configure := func(version int, tenants ...map[string]any) {
 		d.store.put("config", "main", map[string]any{
 			"version": version,
 			"routes": []map[string]any{{
@@ -54,10 +54,13 @@
 			}},
 			"services": []map[string]any{engineService("huvo11a", []string{"m0", "m1"})},
 			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-			"tenants":  []map[string]any{{"name": "hule930", "apiKeys": first, "priority": 1}, {"name": "noye902", "apiKeys": second, "priority": 1}},
+			"tenants":  tenants,
 		})
 	}
-	configure(7, []string{"key-0", "key-1"}, []string{"key-2"})
+	tenant := func(name string, keys ...string) map[string]any {
+		return map[string]any{"name": name, "apiKeys": keys, "priority": 1}
+	}
+	configure(7, tenant("hule930", "key-0", "key-1"), tenant("noye902", "key-2"))
 	k, err := d.newKeeper(1, d.ip(30, 1), s.address)
 	if err != nil {
 		return nil, err
@@ -89,13 +92,13 @@
 	group.Go(func() { send("9c41d07b00000001", "m1") })
 	time.Sleep(moveAfter)
 	if trouble {
-		configure(9, []string{"key-0"}, []string{"key-2", "key-1"})
+		configure(9, tenant("noye902", "key-2", "key-0", "key-1"))
 		mu.Lock()
 		confirmed, holder = time.Now(), "noye902"
 		mu.Unlock()
-		d.record.printf("the store confirms version 9, in which tenant %s holds key-1", holder)
+		d.record.printf("the store confirms version 9, in which there is no tenant hule930 any more and %s holds its keys", holder)
 	} else {
-		configure(9, []string{"key-0", "key-1"}, []string{"key-2"})
+		configure(9, tenant("hule930", "key-0", "key-1"), tenant("noye902", "key-2"))
 	}
 	time.Sleep(keyConfigApply + 500*time.Millisecond)
 	send("9c41d07b00000002", "m0")
