--- a/exchange.go
+++ b/exchange.go
@@ -90,8 +90,15 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the endpoint's VM at this moment. Few endpoints
+	// state it.
+	Pace Option[Pace]
 }
 
+// Pace is how long work takes at an endpoint in relation to the usual time, which is 1.
+// Higher values are slower.
+type Pace float64
+
 // StreamEvent is one complete event of a stream, as it was received.
 type StreamEvent struct {
 	ID   string
--- a/installation.go
+++ b/installation.go
@@ -66,6 +66,18 @@
 type Service struct {
 	ID     ServiceID
 	Engine Option[EngineSpec]
+	// WarmUp limits the requests to endpoints that are cold. It is absent if the
+	// endpoints are never cold.
+	WarmUp Option[WarmUpLimit]
+}
+
+// WarmUpLimit is what an endpoint bears while it is cold.
+type WarmUpLimit struct {
+	// Duration is how long an endpoint is cold after its start.
+	Duration time.Duration
+	// RequestsPerSecond is the rate that a cold endpoint bears from all gateways
+	// together.
+	RequestsPerSecond float64
 }
 
 // EngineSpec describes the model engines of a service.
@@ -147,6 +159,11 @@
 	// Start is when the endpoint started, in milliseconds of its wall clock.
 	Start uint64
 	Slots int
+	// Evacuated is set while the operator wants no requests sent to the endpoint's
+	// availability zone.
+	Evacuated bool
+	// ColdFor is how long the endpoint stays cold, from the arrival of the registration.
+	ColdFor time.Duration
 	// Models lists the models that the endpoint holds.
 	Models []LoadedModel
 	// Cached lists the checkpoints that the endpoint's machine holds outside the engine.
--- a/store.go
+++ b/store.go
@@ -28,6 +28,9 @@
 	KindInstallation Kind = "installation"
 	// KindEndpoints holds one object per endpoint that registers itself.
 	KindEndpoints Kind = "endpoints"
+	// KindEvacuations holds one object per availability zone to which the operator
+	// wants no requests sent. The object is named as the zone.
+	KindEvacuations Kind = "evacuations"
 )
 
 // MainInstallation is the name of the object that holds the configuration.
