Send nothing to endpoints of evacuated availability zones

The follower replicates the collection of evacuations if the setting evacuationTime is above zero, and marks the endpoints of the named zones. The fleet leaves them out of its index; attempts and load requests that were decided before are checked again before they are sent. Models in demand that only evacuated engines hold are loaded in other zones. Load requests that keepers of the zone have queued are withdrawn. Calls whose service has no other endpoints are refused at once.

Run: go test -race of fleet, gateway, placement, keeper, installation, platform, link, logbook, cmd/gateway (existing tests; RecordArrival has one more argument, so one call in placement_test.go changed).

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -61,6 +61,12 @@
 	// the other gateways. suspectSyncTimeout bounds one.
 	suspectSyncPeriod  = 250 * time.Millisecond
 	suspectSyncTimeout = time.Second
+	// minEvacuationTime is the shortest time within which an evacuation is in force at all gateways that
+	// reach the store or another gateway, though those fail that they have it from: the time in which a
+	// change of the endpoints is, and that for a connection to an endpoint.
+	minEvacuationTime = 4 * time.Second
+	// evacuationReportPeriod is the time between two reports of the requests in evacuated zones.
+	evacuationReportPeriod = time.Second
 )
 
 // process is a running gateway.
@@ -148,16 +154,18 @@
 	follower, closeFollower := installation.NewFollower(installation.Options{
 		Self: self, Peers: p.peers, Link: link.NewConfigurationClient(feeds),
 		Objects: objects, Decoder: platform.InstallationDecoder{}, Clock: clock, Log: p.log,
+		Evacuations:     p.settings.EvacuationTime > 0,
 		OnConfiguration: p.configure, OnEndpoints: p.fleet.Update,
 	})
 	p.follower = follower
 	p.clock = clock
+	meter := gateway.NewMeter(scope)
 	p.gateway = gateway.New(gateway.Options{
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
 		RateLimiter:  gateway.NewRateLimiter(p.allowances, link.NewAllowanceBorrower(connections), p.peers, clock, p.log),
 		CrashTracker: gateway.NewCrashTracker(suspects, exchanger, p.fleet, p.log),
 		RetryBudget:  p.budget, HoldPolicy: holdback.Spread{}, Exchanger: exchanger, Clock: clock, Log: p.log,
-		Meter: gateway.NewMeter(scope),
+		Meter: meter,
 	})
 	p.ingress = platform.NewIngress(p.gateway, clock)
 	_, closeLinks, err := link.NewServer(p.settings.Links, nil, func(r grpc.ServiceRegistrar) {
@@ -172,6 +180,7 @@
 	// The follower is closed first: that ends the feeds of other gateways, for which the links wait.
 	p.cleanups.Add(closeLinks, closeFollower)
 	p.cleanups.Add(machine.Every(sweepPeriod, pool.Sweep), machine.Every(gatewayCountPeriod, p.updateGatewayCount))
+	p.reportEvacuations(meter)
 	if err := p.serveReadinessAndMetrics(metrics); err != nil {
 		return err
 	}
@@ -188,6 +197,22 @@
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
 }
 
+// reportEvacuations reports the requests in evacuated zones from now on if these are followed.
+func (p *process) reportEvacuations(meter *gateway.Meter) {
+	limit := time.Duration(p.settings.EvacuationTime)
+	if limit <= 0 {
+		return
+	}
+	entry := p.log.WithField("evacuationTime", limit.String())
+	if limit < minEvacuationTime {
+		entry.WithField("reached", minEvacuationTime.String()).Warn("following evacuated zones, but they may be in use for longer than is wanted")
+	} else {
+		entry.Info("following evacuated zones")
+	}
+	r := gateway.NewEvacuationReporter(p.fleet, meter, p.log)
+	p.cleanups.Add(machine.Every(evacuationReportPeriod, r.Report))
+}
+
 // configure applies a configuration that came into force.
 func (p *process) configure(s *installation.Snapshot) {
 	ownLimits := knapweedpulley.CallerLimits{
--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -34,6 +34,9 @@
 	// RemoteLoads is the number of concurrent loads from the weight store that still run at full
 	// speed.
 	RemoteLoads int `json:"remoteLoads"`
+	// EvacuationTime is the time within which an availability zone that the operator evacuates gets no
+	// more requests. Evacuated zones are followed only if it is above zero.
+	EvacuationTime settings.Duration `json:"evacuationTime"`
 	// MemoryMB is the memory that the process may use, in millions of bytes.
 	MemoryMB int64  `json:"memoryMb"`
 	LogLevel string `json:"logLevel"`
@@ -55,6 +58,9 @@
 	f.Positive("repeatSlack", s.RepeatSlack)
 	f.Positive("gateways", float64(s.Gateways))
 	f.Positive("remoteLoads", float64(s.RemoteLoads))
+	if s.EvacuationTime < 0 {
+		f.Addf("evacuationTime", time.Duration(s.EvacuationTime), "must not be negative")
+	}
 	f.Positive("memoryMb", float64(s.MemoryMB))
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,8 @@
 	byID     map[knapweedpulley.EndpointID]*Endpoint
 	services map[knapweedpulley.ServiceID][]*Endpoint
 	holders  map[knapweedpulley.ServiceID]map[knapweedpulley.Resident][]*Endpoint
+	// evacuated holds the services all of whose endpoints that aren't departing are in evacuated zones.
+	evacuated knapweedpulley.Set[knapweedpulley.ServiceID]
 	// changed is closed when the index is replaced.
 	changed chan struct{}
 }
@@ -163,20 +165,33 @@
 
 func buildIndex(byID map[knapweedpulley.EndpointID]*Endpoint) *index {
 	x := &index{
-		byID:     byID,
-		services: make(map[knapweedpulley.ServiceID][]*Endpoint),
-		holders:  make(map[knapweedpulley.ServiceID]map[knapweedpulley.Resident][]*Endpoint),
-		changed:  make(chan struct{}),
+		byID:      byID,
+		services:  make(map[knapweedpulley.ServiceID][]*Endpoint),
+		holders:   make(map[knapweedpulley.ServiceID]map[knapweedpulley.Resident][]*Endpoint),
+		evacuated: make(knapweedpulley.Set[knapweedpulley.ServiceID]),
+		changed:   make(chan struct{}),
 	}
+	outside := make(knapweedpulley.Set[knapweedpulley.ServiceID])
 	ordered := slices.SortedFunc(maps.Values(byID), func(a, b *Endpoint) int { return cmp.Compare(a.id, b.id) })
 	for _, e := range ordered {
 		entry := e.Registration()
-		if e.Departing() || e.Unreachable() {
+		if e.Departing() {
+			continue
+		}
+		if entry.Evacuated {
+			x.evacuated.Add(entry.Service)
+			continue
+		}
+		outside.Add(entry.Service)
+		if e.Unreachable() {
 			continue
 		}
 		x.services[entry.Service] = append(x.services[entry.Service], e)
 		x.addHolder(entry.Service, e)
 	}
+	for id := range outside {
+		x.evacuated.Remove(id)
+	}
 	return x
 }
 
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -94,6 +94,9 @@
 	if err := h.checkSuspects(); err != nil {
 		return err
 	}
+	if err := h.Fleet.CheckEvacuation(h.admission.Service.ID); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, h.remaining())
 	defer cancel()
 	if err := h.chargeCustomer(ctx, &h.admission); err != nil {
@@ -102,7 +105,7 @@
 	defer h.returnCharge()
 	weights := h.call.Weights()
 	if weights.Model != "" {
-		h.Demand.RecordArrival(weights)
+		h.Demand.RecordArrival(weights, h.admission.Priority)
 	}
 	h.RetryBudget.Deposit(h.admission.Service.ID)
 	return h.sendUntilDone(ctx)
@@ -133,8 +136,44 @@
 	}
 }
 
-// begin begins the call at the endpoint for the next attempt.
+// begin begins the call at the endpoint for the next attempt. An endpoint whose zone was evacuated
+// after it was chosen, while the call waited, is left for another one.
 func (h *callHandler) begin(ctx context.Context) (*fleet.ActiveRequest, error) {
+	for {
+		visit := h.reserved()
+		// An endpoint that is chosen from the index and found to be evacuated is in the next index no
+		// longer. One that was reserved before may be gone from the present one already.
+		var changed <-chan struct{}
+		if visit == nil {
+			changed = h.Fleet.Changed()
+			var err error
+			if visit, err = h.beginAnywhere(ctx); err != nil {
+				return nil, err
+			}
+		}
+		reason, err := "configuration", h.readmit(ctx)
+		if err == nil && visit.Evacuated() {
+			visit.End(fleet.Inconclusive)
+			if err := h.leaveEvacuated(ctx, visit.Endpoint, changed); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if err == nil {
+			reason, err = "crashes", h.checkAttempt()
+		}
+		if err != nil {
+			h.recordDenial(ctx, reason)
+			visit.End(fleet.Inconclusive)
+			return nil, err
+		}
+		return visit, nil
+	}
+}
+
+// reserved returns the request that was begun for the call at another endpoint when it was moved, or
+// begins it at the endpoint to which it returns. It returns nil if the call needs an endpoint.
+func (h *callHandler) reserved() *fleet.ActiveRequest {
 	visit := h.next
 	h.next = nil
 	if visit == nil && h.hasRunOut() && h.left != nil {
@@ -142,28 +181,21 @@
 		visit = h.left.BeginRequest(h.call.Prompt)
 		h.left = nil
 	}
-	if visit == nil {
-		e, err := h.findEndpoint(ctx)
-		if shutdownErr := h.checkShutdown(); shutdownErr != nil {
-			h.recordDenial(ctx, "shutdown")
-			return nil, shutdownErr
-		}
-		if err != nil {
-			h.recordDenial(ctx, "endpoint")
-			return nil, err
-		}
-		visit = e.BeginRequest(h.call.Prompt)
-	}
-	reason, err := "configuration", h.readmit(ctx)
-	if err == nil {
-		reason, err = "crashes", h.checkAttempt()
+	return visit
+}
+
+// beginAnywhere begins the call at the best endpoint, and waits until there is one.
+func (h *callHandler) beginAnywhere(ctx context.Context) (*fleet.ActiveRequest, error) {
+	e, err := h.findEndpoint(ctx)
+	if shutdownErr := h.checkShutdown(); shutdownErr != nil {
+		h.recordDenial(ctx, "shutdown")
+		return nil, shutdownErr
 	}
 	if err != nil {
-		h.recordDenial(ctx, reason)
-		visit.End(fleet.Inconclusive)
+		h.recordDenial(ctx, "endpoint")
 		return nil, err
 	}
-	return visit, nil
+	return e.BeginRequest(h.call.Prompt), nil
 }
 
 // checkSuspects refuses the call if it is believed to crash endpoints, unless it may be sent as a
@@ -242,6 +274,9 @@
 		if e, found := h.Fleet.Choose(need); found {
 			return e, nil
 		}
+		if err := h.Fleet.CheckEvacuation(need.Service); err != nil {
+			return nil, err
+		}
 		if len(h.avoid) > 0 {
 			// All usable endpoints have been tried. Those that refused may have capacity
 			// again shortly.
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -38,6 +38,17 @@
 	m.scope.Counter("holds").Inc(1)
 }
 
+// recordRedirect counts an attempt that was not sent because the zone of its endpoint was evacuated
+// after the endpoint was chosen.
+func (m *Meter) recordRedirect() {
+	m.scope.Counter("evacuation_redirects").Inc(1)
+}
+
+// recordEvacuatedRequests records the number of the gateway's requests in an evacuated zone.
+func (m *Meter) recordEvacuatedRequests(zone knapweedpulley.ZoneID, n int) {
+	m.scope.Tagged(map[string]string{"zone": string(zone)}).Gauge("evacuated_requests").Update(float64(n))
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -183,7 +183,7 @@
 		return nil, "shutdown"
 	}
 	e, found := w.gateway.Fleet.Choose(w.need)
-	if !found || e.Avoided() {
+	if !found || e.Avoided() || e.Evacuated() {
 		return nil, "endpoint"
 	}
 	if w.gateway.CrashTracker.Check(w.call) != nil {
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -11,6 +11,10 @@
 // which running endpoints register again. A [Snapshot] is one version of the
 // configuration, and admits calls.
 //
+// If Options.Evacuations is set, it also follows the availability zones that the
+// operator has evacuated, and marks the endpoints of these zones. A zone is evacuated
+// for as long as the store has an object of its name, whatever the object contains.
+//
 // # Usage
 //
 //	follower, cleanup := installation.NewFollower(installation.Options{
@@ -22,6 +26,7 @@
 package installation
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +37,7 @@
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/configuration"
 	"github.com/knapweedpulley/knapweedpulley/machine"
+	"github.com/knapweedpulley/knapweedpulley/rawjson"
 )
 
 const (
@@ -69,6 +75,8 @@
 	Decoder knapweedpulley.InstallationDecoder
 	Clock   knapweedpulley.Clock
 	Log     log.Interface
+	// Evacuations makes the follower follow the evacuated availability zones.
+	Evacuations bool
 	// OnConfiguration gets each configuration that comes into force.
 	OnConfiguration func(*Snapshot)
 	// OnEndpoints gets all usable endpoints after each change.
@@ -80,12 +88,14 @@
 // gateways.
 type Follower struct {
 	*configuration.Configuration
-	decoder         knapweedpulley.InstallationDecoder
-	clock           knapweedpulley.Clock
-	log             log.Interface
-	onEndpoints     func([]knapweedpulley.RegisteredEndpoint)
-	current         atomic.Pointer[Snapshot]
-	onConfiguration func(*Snapshot)
+	decoder     knapweedpulley.InstallationDecoder
+	clock       knapweedpulley.Clock
+	log         log.Interface
+	onEndpoints func([]knapweedpulley.RegisteredEndpoint)
+	current     atomic.Pointer[Snapshot]
+	// followsEvacuations is set if the evacuated zones are followed.
+	followsEvacuations bool
+	onConfiguration    func(*Snapshot)
 
 	mu        sync.Mutex
 	endpoints map[knapweedpulley.EndpointID]knapweedpulley.RegisteredEndpoint
@@ -93,19 +103,39 @@
 	missing knapweedpulley.Set[knapweedpulley.EndpointID]
 	// invalid holds the endpoints whose registrations are logged as invalid.
 	invalid knapweedpulley.Set[knapweedpulley.EndpointID]
+	// evacuated holds the evacuated zones, whether or not they contain an endpoint.
+	evacuated knapweedpulley.Set[knapweedpulley.ZoneID]
 }
 
 // NewFollower starts to follow an installation. The clean-up stops that.
 func NewFollower(o Options) (*Follower, knapweedpulley.Cleanup) {
 	f := &Follower{
-		decoder:         o.Decoder,
-		clock:           o.Clock,
-		log:             o.Log,
-		onEndpoints:     o.OnEndpoints,
-		onConfiguration: o.OnConfiguration,
-		endpoints:       make(map[knapweedpulley.EndpointID]knapweedpulley.RegisteredEndpoint),
-		missing:         make(knapweedpulley.Set[knapweedpulley.EndpointID]),
-		invalid:         make(knapweedpulley.Set[knapweedpulley.EndpointID]),
+		decoder:            o.Decoder,
+		clock:              o.Clock,
+		log:                o.Log,
+		onEndpoints:        o.OnEndpoints,
+		onConfiguration:    o.OnConfiguration,
+		followsEvacuations: o.Evacuations,
+		endpoints:          make(map[knapweedpulley.EndpointID]knapweedpulley.RegisteredEndpoint),
+		missing:            make(knapweedpulley.Set[knapweedpulley.EndpointID]),
+		invalid:            make(knapweedpulley.Set[knapweedpulley.EndpointID]),
+		evacuated:          make(knapweedpulley.Set[knapweedpulley.ZoneID]),
+	}
+	collections := []configuration.Collection{
+		{
+			Kind: knapweedpulley.KindInstallation, Apply: f.changeConfiguration,
+			WatchWait: installationWatchWait, LoneWatchWait: loneWatchWait,
+		},
+		{
+			Kind: knapweedpulley.KindEndpoints, Apply: f.changeEndpoints,
+			LoneWatchWait: loneWatchWait, WatchInterval: endpointWatchInterval,
+		},
+	}
+	if o.Evacuations {
+		collections = append(collections, configuration.Collection{
+			Kind: knapweedpulley.KindEvacuations, Apply: f.changeEvacuations,
+			WatchWait: installationWatchWait, LoneWatchWait: loneWatchWait,
+		})
 	}
 	// Changes of the endpoints may arrive before New returns. They need the
 	// Configuration, and wait for mu until it is set.
@@ -113,16 +143,7 @@
 	defer f.mu.Unlock()
 	replica, stopReplica := configuration.New(configuration.Options{
 		Self: o.Self, Clock: o.Clock, Objects: o.Objects, Peers: o.Peers, Link: o.Link, Log: o.Log, MaxTurn: maxTurn,
-		Collections: []configuration.Collection{
-			{
-				Kind: knapweedpulley.KindInstallation, Apply: f.changeConfiguration,
-				WatchWait: installationWatchWait, LoneWatchWait: loneWatchWait,
-			},
-			{
-				Kind: knapweedpulley.KindEndpoints, Apply: f.changeEndpoints,
-				LoneWatchWait: loneWatchWait, WatchInterval: endpointWatchInterval,
-			},
-		},
+		Collections: collections,
 	})
 	f.Configuration = replica
 	stopRemoval := machine.Every(reregistrationGrace/4, f.removeMissing)
@@ -146,11 +167,13 @@
 	return s, s != nil
 }
 
-// Usable reports whether a configuration is in force and the endpoints have been
-// listed.
+// Usable reports whether a configuration is in force and the endpoints, and the evacuated zones if
+// they are followed, have been listed. [Follower.Current] requires the lists as well, so that a
+// gateway that is starting sends nothing to an evacuated zone.
 func (f *Follower) Usable() bool {
 	_, known := f.Current()
-	return known && f.View(knapweedpulley.KindEndpoints).Loaded
+	return known && f.View(knapweedpulley.KindEndpoints).Loaded &&
+		(!f.followsEvacuations || f.View(knapweedpulley.KindEvacuations).Loaded)
 }
 
 // changeConfiguration applies only the newest configuration that can be decoded,
@@ -200,6 +223,49 @@
 	f.publishEndpoints()
 }
 
+// changeEvacuations applies changes of the evacuated zones.
+func (f *Follower) changeEvacuations(changes []knapweedpulley.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range changes {
+		f.changeEvacuation(c)
+	}
+	f.publishEndpoints()
+}
+
+// changeEvacuation adds or removes an evacuated zone. The name of the object alone counts: the
+// operator expects no answer, and a zone that is wrongly in use costs more than one that is wrongly
+// empty. The caller holds mu.
+func (f *Follower) changeEvacuation(c knapweedpulley.Change) {
+	zone := knapweedpulley.ZoneID(c.Name)
+	contained := 0
+	for _, e := range f.endpoints {
+		if e.Zone == zone {
+			contained++
+		}
+	}
+	entry := f.log.WithField("zone", zone).WithField("revision", c.Revision).WithField("endpoints", contained)
+	if c.Deleted {
+		if f.evacuated.Has(zone) {
+			f.evacuated.Remove(zone)
+			entry.Info("availability zone given back; its endpoints get requests again")
+		}
+		return
+	}
+	if _, err := rawjson.Members(c.Value); err != nil || !bytes.HasPrefix(bytes.TrimSpace(c.Value), []byte("{")) {
+		entry.Warn("spec of an evacuation can't be read; the zone is evacuated by the name of the object")
+	}
+	if f.evacuated.Has(zone) {
+		return
+	}
+	f.evacuated.Add(zone)
+	if contained == 0 && f.View(knapweedpulley.KindEndpoints).Loaded {
+		entry.Warn("evacuated availability zone contains no endpoint")
+		return
+	}
+	entry.Info("availability zone evacuated; its endpoints get no more requests")
+}
+
 // registerEndpoint adds or updates the endpoint of a registration. If that is
 // invalid, it removes the endpoint. The caller holds mu.
 func (f *Follower) registerEndpoint(o knapweedpulley.Object) {
@@ -300,6 +366,7 @@
 	list := make([]knapweedpulley.RegisteredEndpoint, 0, len(f.endpoints))
 	for _, e := range f.endpoints {
 		if f.hasService(e.Service) || !known.Has(e.Address) {
+			e.Evacuated = f.evacuated.Has(e.Zone)
 			list = append(list, e)
 		}
 	}
--- a/keeper/session.go
+++ b/keeper/session.go
@@ -131,6 +131,10 @@
 		k.removeLostSessions(note.Gateway.Entry)
 	}
 	for _, wake := range note.LoadRequests {
+		if wake.Expires == 0 {
+			k.withdraw(wake.Resident)
+			continue
+		}
 		k.enqueue(loadRequest{ResidentLoadRequest: wake, expiresAt: now.Add(wake.Expires)})
 	}
 }
@@ -209,6 +213,16 @@
 	k.queue = slices.Insert(k.queue, at, request)
 }
 
+// withdraw removes a load request from the queue, whichever gateways have sent it: they withdraw it
+// because the engine's zone is evacuated, and all of them know soon. A load in progress goes on.
+func (k *Keeper) withdraw(resident knapweedpulley.Resident) {
+	before := len(k.queue)
+	k.queue = slices.DeleteFunc(k.queue, func(q loadRequest) bool { return q.Resident == resident })
+	if len(k.queue) < before {
+		k.log.WithField("model", resident.Model).WithField("adapter", resident.Adapter).Info("load request withdrawn; removed from the queue")
+	}
+}
+
 // publish sends the current state to the gateways whose last report is outdated.
 // A report that the stream has not sent yet is replaced.
 func (k *Keeper) publish() {
--- a/logbook/trace/report.go
+++ b/logbook/trace/report.go
@@ -17,7 +17,7 @@
 
 // causes returns the causes in the order of the rows of the table.
 func causes() []Cause {
-	return []Cause{InTime, OverRate, NoModel, HeldBack, LateFirst, LongPause, BrokenOff, Failed, Refused, CallerLeft}
+	return []Cause{InTime, OverRate, NoModel, HeldBack, Evacuated, LateFirst, LongPause, BrokenOff, Failed, Refused, CallerLeft}
 }
 
 // WriteTable writes a table of the number of requests by cause and route.
--- a/logbook/trace/trace.go
+++ b/logbook/trace/trace.go
@@ -90,6 +90,7 @@
 	OverRate   Cause = "over its rate"
 	NoModel    Cause = "waited for its model"
 	HeldBack   Cause = "endpoints held back"
+	Evacuated  Cause = "zones evacuated"
 	LateFirst  Cause = "late first answer"
 	LongPause  Cause = "long pause"
 	BrokenOff  Cause = "broken off"
@@ -110,6 +111,8 @@
 		return OverRate
 	case f.Code == knapweedpulley.CodeHeldBack:
 		return HeldBack
+	case f.Code == knapweedpulley.CodeEvacuated:
+		return Evacuated
 	case f.Code == knapweedpulley.CodeCanceled:
 		return CallerLeft
 	case f.Code != "" && f.Model != "" && f.WaitedMs > f.AimMs/2:
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -41,7 +41,7 @@
 }
 
 // selectEngines returns the engines to whose keepers the gateway connects. If its zone has no
-// engines, the cells are formed from all engines.
+// engines that take requests, the cells are formed from all that do.
 func (c *cellSelector) selectEngines(engines []*fleet.Endpoint) knapweedpulley.Set[knapweedpulley.EndpointID] {
 	chosen := make(knapweedpulley.Set[knapweedpulley.EndpointID], min(len(engines), cellSize))
 	c.fleetCells = cellCount(len(engines), c.fleetCells)
@@ -51,10 +51,7 @@
 		}
 		return chosen
 	}
-	nearby := slices.DeleteFunc(slices.Clone(engines), func(e *fleet.Endpoint) bool { return e.Registration().Zone != c.self.Zone })
-	if len(nearby) == 0 {
-		nearby = engines
-	}
+	nearby := c.nearby(engines)
 	c.zoneCells = cellCount(len(nearby), c.zoneCells)
 	ownCell := xxhash.Sum64String(string(c.self.Entry)) % c.zoneCells
 	for _, e := range nearby {
@@ -68,6 +65,20 @@
 	return chosen
 }
 
+// nearby returns the engines from which the cells of the gateway are formed. A gateway whose own zone
+// is evacuated places models in the others.
+func (c *cellSelector) nearby(engines []*fleet.Endpoint) []*fleet.Endpoint {
+	inUse := slices.DeleteFunc(slices.Clone(engines), (*fleet.Endpoint).Evacuated)
+	if len(inUse) == 0 {
+		inUse = engines
+	}
+	nearby := slices.DeleteFunc(slices.Clone(inUse), func(e *fleet.Endpoint) bool { return e.Registration().Zone != c.self.Zone })
+	if len(nearby) == 0 {
+		return inUse
+	}
+	return nearby
+}
+
 // electors returns the engines to whose keepers every gateway connects.
 func (c *cellSelector) electors(engines []*fleet.Endpoint) []*fleet.Endpoint {
 	if c.fleetCells == 1 {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -24,6 +24,36 @@
 	arrivals atomic.Int64
 	// rate is the arrival rate in requests per second, as the bits of a float64.
 	rate atomic.Uint64
+	// earliest is the most urgent priority of these arrivals, and priority that of the last period
+	// with arrivals.
+	earliest atomic.Int64
+	priority atomic.Int64
+}
+
+func newUsage() *usage {
+	u := &usage{}
+	u.earliest.Store(math.MaxInt64)
+	return u
+}
+
+// recordArrival counts the arrival of a request with a priority.
+func (u *usage) recordArrival(priority int64) {
+	for last := u.earliest.Load(); priority < last; last = u.earliest.Load() {
+		if u.earliest.CompareAndSwap(last, priority) {
+			break
+		}
+	}
+	u.arrivals.Add(1)
+}
+
+// update folds the arrivals since the last update into the rate, whose past part is weighted by keep.
+func (u *usage) update(keep float64) {
+	rate := math.Float64frombits(u.rate.Load())
+	now := float64(u.arrivals.Swap(0)) / ratePeriod.Seconds()
+	u.rate.Store(math.Float64bits(keep*rate + (1-keep)*now))
+	if p := u.earliest.Swap(math.MaxInt64); p != math.MaxInt64 {
+		u.priority.Store(p)
+	}
 }
 
 // activeKey identifies a model or an adapter at an endpoint.
@@ -45,11 +75,12 @@
 	return d, machine.Every(ratePeriod, d.updateRates)
 }
 
-// RecordArrival counts the arrival of a request for a model, and for an adapter if one is named.
-func (d *Demand) RecordArrival(w knapweedpulley.Resident) {
-	d.usage(knapweedpulley.Resident{Model: w.Model}).arrivals.Add(1)
+// RecordArrival counts the arrival of a request for a model, and for an adapter if one is named. A
+// priority of zero is the most urgent.
+func (d *Demand) RecordArrival(w knapweedpulley.Resident, priority int) {
+	d.usage(knapweedpulley.Resident{Model: w.Model}).recordArrival(int64(priority))
 	if w.Adapter != "" {
-		d.usage(w).arrivals.Add(1)
+		d.usage(w).recordArrival(int64(priority))
 	}
 }
 
@@ -76,6 +107,14 @@
 	return 0
 }
 
+// Priority returns the most urgent priority of the last requests for a model or adapter.
+func (d *Demand) Priority(w knapweedpulley.Resident) int {
+	if u, known := d.usages.Load(w); known {
+		return int(u.(*usage).priority.Load())
+	}
+	return 0
+}
+
 // Rate returns the arrival rate for a model or adapter, in requests per second.
 func (d *Demand) Rate(w knapweedpulley.Resident) float64 {
 	if u, known := d.usages.Load(w); known {
@@ -88,7 +127,7 @@
 	if u, known := d.usages.Load(w); known {
 		return u.(*usage)
 	}
-	u, _ := d.usages.LoadOrStore(w, &usage{})
+	u, _ := d.usages.LoadOrStore(w, newUsage())
 	return u.(*usage)
 }
 
@@ -104,10 +143,7 @@
 func (d *Demand) updateRates() {
 	keep := math.Exp2(-float64(ratePeriod) / float64(rateHalfLife))
 	d.usages.Range(func(_, value any) bool {
-		u := value.(*usage)
-		rate := math.Float64frombits(u.rate.Load())
-		now := float64(u.arrivals.Swap(0)) / ratePeriod.Seconds()
-		u.rate.Store(math.Float64bits(keep*rate + (1-keep)*now))
+		value.(*usage).update(keep)
 		return true
 	})
 }
--- a/placement/keepersession.go
+++ b/placement/keepersession.go
@@ -156,6 +156,10 @@
 			return
 		case <-s.noteDue:
 		case w := <-s.loadRequests:
+			if w.Expires != withdrawn && s.endpoint.Evacuated() {
+				// The zone was evacuated while the request waited for the stream.
+				continue
+			}
 			if err := stream.Send(knapweedpulley.GatewayMessage{
 				Gateway: s.sender(), Sent: s.placer.clock.Now(), Endpoint: s.endpoint.ID(), LoadRequests: []knapweedpulley.ResidentLoadRequest{w},
 			}); err != nil {
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -98,6 +98,9 @@
 		if len(p.fleet.Holders(r.Service, r.Weights)) > 0 {
 			return nil
 		}
+		if err := p.fleet.CheckEvacuation(r.Service); err != nil {
+			return err
+		}
 		left := r.Deadline.Sub(p.clock.Now())
 		if left <= 0 {
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeDeadlineExceeded, knapweedpulley.NotRun,
@@ -200,6 +203,9 @@
 
 // sendRequestFor does the same with the given lifetime.
 func (p *Placer) sendRequestFor(load *pendingLoad, t loadTarget, r LoadRequest, lifetime time.Duration) bool {
+	if load.endpoint.Evacuated() {
+		return false
+	}
 	s := p.visit(load.endpoint)
 	if s == nil {
 		return false
@@ -208,6 +214,9 @@
 	message := knapweedpulley.ResidentLoadRequest{
 		Resident: t.weights, Priority: r.Priority, Expires: min(lifetime, r.Deadline.Sub(now)),
 	}
+	if message.Expires == withdrawn {
+		message.Expires--
+	}
 	if now.After(r.TargetTime) {
 		message.Priority += latePriorityOffset
 	}
@@ -223,7 +232,7 @@
 // remainingTime returns the estimated time until a pending load ends, and false if its endpoint no
 // longer works on it.
 func (p *Placer) remainingTime(t loadTarget, load *pendingLoad) (time.Duration, bool) {
-	if p.fleet.Endpoints()[load.endpoint.ID()] != load.endpoint || load.endpoint.Departing() {
+	if p.fleet.Endpoints()[load.endpoint.ID()] != load.endpoint || load.endpoint.Departing() || load.endpoint.Evacuated() {
 		return 0, false
 	}
 	r, age, fresh := load.endpoint.Report()
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -471,7 +471,7 @@
 			defer cleanup()
 			w := knapweedpulley.Resident{Model: "m", Adapter: "x"}
 			for range 600 {
-				d.RecordArrival(w)
+				d.RecordArrival(w, 0)
 				time.Sleep(100 * time.Millisecond)
 			}
 			is.True(d.Rate(w) > 9 && d.Rate(w) < 11)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -153,6 +153,8 @@
 	for {
 		changed := p.fleet.Changed()
 		p.updateSessions()
+		p.withdrawFromEvacuated()
+		p.replaceEvacuated()
 		select {
 		case <-ctx.Done():
 			return
--- a/residency.go
+++ b/residency.go
@@ -105,7 +105,7 @@
 // ResidentLoadRequest requests that the keeper of an engine load a model or an adapter.
 type ResidentLoadRequest struct {
 	Resident
-	// Expires is the time after which the load is of no use.
+	// Expires is the time after which the load is of no use. Zero withdraws an earlier request.
 	Expires time.Duration
 	// Priority ranks the requests; zero is the most urgent.
 	Priority int
--- a/verdict.go
+++ b/verdict.go
@@ -48,6 +48,7 @@
 	CodeDraining            Code = "draining"
 	CodeNotReady            Code = "notReady"
 	CodeNoEndpoint          Code = "noEndpoint"
+	CodeEvacuated           Code = "evacuated"
 	CodeNotPermitted        Code = "notPermitted"
 	CodeOutOfMemory         Code = "outOfMemory"
 	CodeFenced              Code = "fenced"
