--- a/installation/fleet_test.go
+++ b/installation/fleet_test.go
@@ -52,7 +52,9 @@
 	defer g.mu.Unlock()
 	g.endpoints = make(knapweedpulley.Set[knapweedpulley.EndpointID])
 	for _, e := range list {
-		g.endpoints.Add(e.ID)
+		if !e.Evacuated {
+			g.endpoints.Add(e.ID)
+		}
 	}
 }
 
@@ -88,7 +90,7 @@
 		}
 	}
 	f.write(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, knapweedpulley.Installation{Version: 1})
-	f.write(knapweedpulley.KindEndpoints, "i-0", knapweedpulley.RegisteredEndpoint{Address: "10.0.0.1:1"})
+	f.write(knapweedpulley.KindEndpoints, "i-0", knapweedpulley.RegisteredEndpoint{Address: "10.0.0.1:1", Zone: "zone-0"})
 	for n, m := range f.members {
 		if n%7 == 6 {
 			// All machines start within 0.3 s of each other.
@@ -98,7 +100,7 @@
 		follower, cleanup := installation.NewFollower(installation.Options{
 			Self: m, Peers: f, Link: f.links, Objects: g.store,
 			Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
-			Log:             logbook.New(io.Discard, log.InfoLevel, "test", "test"),
+			Log: logbook.New(io.Discard, log.InfoLevel, "test", "test"), Evacuations: f.evacuations,
 			OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: g.apply,
 		})
 		f.t.Cleanup(cleanup)
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -30,6 +30,8 @@
 	store     *storefake.Store
 	follower  *installation.Follower
 	revisions map[string]knapweedpulley.Revision
+	// evacuations makes the follower follow the evacuated zones.
+	evacuations bool
 
 	mu        sync.Mutex
 	endpoints knapweedpulley.Set[knapweedpulley.EndpointID]
@@ -46,7 +48,7 @@
 func (f *fixture) start() {
 	follower, cleanup := installation.NewFollower(installation.Options{
 		Objects: f.store, Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
-		Log:             logbook.New(f, log.InfoLevel, "test", "test"),
+		Log: logbook.New(f, log.InfoLevel, "test", "test"), Evacuations: f.evacuations,
 		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.apply,
 	})
 	f.follower = follower
@@ -80,7 +82,7 @@
 	f.updates++
 	f.endpoints = make(knapweedpulley.Set[knapweedpulley.EndpointID])
 	for _, e := range list {
-		if !e.Draining {
+		if !e.Draining && !e.Evacuated {
 			f.endpoints.Add(e.ID)
 		}
 	}
