--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -51,6 +51,9 @@
 	fleet *fleet.Fleet
 	// objects is the store, or nil for one with the deployment's own objects.
 	objects *storefake.Store
+	// evacuations makes the gateway follow the evacuated zones. zone is that of the endpoints.
+	evacuations bool
+	zone        knapweedpulley.ZoneID
 	// logs gets the gateway's log if it isn't nil.
 	logs io.Writer
 }
@@ -79,6 +82,7 @@
 	placer.Configure(map[knapweedpulley.ServiceID]knapweedpulley.Service{d.service.ID: d.service})
 	follower, closeFollower := installation.NewFollower(installation.Options{
 		Objects: objects, Decoder: installationfake.InstallationDecoder{}, Clock: clock, Log: logger,
+		Evacuations:     d.evacuations,
 		OnConfiguration: func(*installation.Snapshot) {}, OnEndpoints: f.Update,
 	})
 	t.Cleanup(func() {
@@ -113,7 +117,7 @@
 	objects := storefake.New()
 	putObject(t, objects, knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, d.installation())
 	for _, id := range d.endpoints {
-		r := knapweedpulley.RegisteredEndpoint{Service: d.service.ID, Address: "10.0.0." + string(id) + ":1", Start: 1, Slots: 4}
+		r := knapweedpulley.RegisteredEndpoint{Service: d.service.ID, Address: "10.0.0." + string(id) + ":1", Zone: d.zone, Start: 1, Slots: 4}
 		if id == d.holder {
 			r.Models = []knapweedpulley.LoadedModel{{Model: "m", State: knapweedpulley.StateLoaded}}
 		}
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/gateway"
 )
 
 const holdTime = 2 * time.Second
@@ -53,7 +54,12 @@
 func serveMany(t *testing.T, d deployment, x *busyExchanger, duration time.Duration) (int, []*knapweedpulley.Refusal) {
 	t.Helper()
 	d.exchanger = x
-	g := d.newGateway(t)
+	return serveManyAt(t, d.newGateway(t), x, duration)
+}
+
+// serveManyAt is like serveMany at a gateway whose exchanger is x.
+func serveManyAt(t *testing.T, g *gateway.Gateway, x *busyExchanger, duration time.Duration) (int, []*knapweedpulley.Refusal) {
+	t.Helper()
 	x.began = time.Now()
 	var mu sync.Mutex
 	var group sync.WaitGroup
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -21,21 +21,29 @@
 	withdrawn = time.Duration(0)
 )
 
-// withdrawFromEvacuated withdraws the load requests to keepers of evacuated zones that are pending. An
-// engine that has begun a load goes on with it.
+// withdrawFromEvacuated forgets the pending loads in evacuated zones.
 func (p *Placer) withdrawFromEvacuated() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for t, load := range p.pendingLoads {
-		if !load.endpoint.Evacuated() {
-			continue
+		if load.endpoint.Evacuated() {
+			p.forget(t, load)
 		}
-		delete(p.pendingLoads, t)
-		if s := p.visit(load.endpoint); s != nil {
-			select {
-			case s.loadRequests <- knapweedpulley.ResidentLoadRequest{Resident: t.weights, Expires: withdrawn}:
-			default:
-			}
+	}
+}
+
+// forget removes a pending load. If its endpoint is in an evacuated zone, it withdraws the load request,
+// which the keeper may have queued. An engine that has begun the load goes on with it. The caller holds
+// mu.
+func (p *Placer) forget(t loadTarget, load *pendingLoad) {
+	delete(p.pendingLoads, t)
+	if !load.endpoint.Evacuated() {
+		return
+	}
+	if s := p.visit(load.endpoint); s != nil {
+		select {
+		case s.loadRequests <- knapweedpulley.ResidentLoadRequest{Resident: t.weights, Expires: withdrawn}:
+		default:
 		}
 	}
 }
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -162,7 +162,7 @@
 			}
 			return eta, true
 		}
-		delete(p.pendingLoads, t)
+		p.forget(t, last)
 	}
 	e, eta, tier, found := p.chooseEndpoint(t)
 	if !found {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -134,6 +134,7 @@
 	fleet     *fleet.Fleet
 	placer    *placement.Placer
 	exchanger *fakeExchanger
+	demand    *placement.Demand
 	keepers   map[knapweedpulley.EndpointID]*fakeKeeper
 	// lapsed is set while the gateway lacks the permission to use its part of the rate of loads.
 	lapsed atomic.Bool
@@ -172,6 +173,7 @@
 			}
 			demand, closeDemand := placement.NewDemand()
 			defer closeDemand()
+			f.demand = demand
 			p, closePlacer := placement.NewPlacer(placement.Options{
 				Fleet: f.fleet, Demand: demand, Clock: fake.Clock{}, Port: 7, Gateways: 1, RemoteLoads: 2,
 				Link:      fakeKeeperLink{"10.0.0.1:7": f.keepers["a"], "10.0.0.2:7": f.keepers["b"]},
--- a/placement/visit_test.go
+++ b/placement/visit_test.go
@@ -52,6 +52,7 @@
 			}
 			demand, closeDemand := placement.NewDemand()
 			defer closeDemand()
+			f.demand = demand
 			p, closePlacer := placement.NewPlacer(placement.Options{
 				Fleet: f.fleet, Demand: demand, Clock: fake.Clock{}, Port: 7, Gateways: 1, RemoteLoads: 4,
 				Link: link, Log: logbook.New(io.Discard, log.InfoLevel, "test", "test"),
