Send load requests to evacuated zones from no queue

The check when a request leaves the queue for its stream covers all of them, so that those before it were removed: no test failed without them.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -135,6 +135,15 @@
 		time.AfterFunc(150*time.Millisecond, func() { evacuate(d.fleet, "1", "2") })
 		assertRefusedAt(t, g, 150*time.Millisecond, withModel)
 	})
+	inBubble("a call that waits until its endpoints want requests again", t, func(t *testing.T) {
+		d, _ := streamDeployment(
+			scriptedAnswer{status: http.StatusServiceUnavailable, notRun: true, retryAfter: time.Second},
+			scriptedAnswer{status: http.StatusServiceUnavailable, notRun: true, retryAfter: time.Second}, scriptedAnswer{events: []string{"1"}})
+		d = evacuableDeployment(d)
+		g := d.newGateway(t)
+		time.AfterFunc(300*time.Millisecond, func() { evacuate(d.fleet, "1", "2") })
+		assertRefusedAt(t, g, 300*time.Millisecond)
+	})
 	inBubble("a call whose rate isn't there isn't charged first", t, func(t *testing.T) {
 		d, _ := streamDeployment(scriptedAnswer{events: []string{"1"}})
 		a := evacuableDeployment(d).withAccounts(1000)
--- a/placement/keepersession.go
+++ b/placement/keepersession.go
@@ -157,7 +157,7 @@
 		case <-s.noteDue:
 		case w := <-s.loadRequests:
 			if w.Expires != withdrawn && s.endpoint.Evacuated() {
-				// The zone was evacuated while the request waited for the stream.
+				// The zone was evacuated after the request was queued, or while it was.
 				continue
 			}
 			if err := stream.Send(knapweedpulley.GatewayMessage{
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -203,9 +203,6 @@
 
 // sendRequestFor does the same with the given lifetime.
 func (p *Placer) sendRequestFor(load *pendingLoad, t loadTarget, r LoadRequest, lifetime time.Duration) bool {
-	if load.endpoint.Evacuated() {
-		return false
-	}
 	s := p.visit(load.endpoint)
 	if s == nil {
 		return false
@@ -232,7 +229,7 @@
 // remainingTime returns the estimated time until a pending load ends, and false if its endpoint no
 // longer works on it.
 func (p *Placer) remainingTime(t loadTarget, load *pendingLoad) (time.Duration, bool) {
-	if p.fleet.Endpoints()[load.endpoint.ID()] != load.endpoint || load.endpoint.Departing() || load.endpoint.Evacuated() {
+	if p.fleet.Endpoints()[load.endpoint.ID()] != load.endpoint || load.endpoint.Departing() {
 		return 0, false
 	}
 	r, age, fresh := load.endpoint.Report()
