Evacuate a zone in the soak

The last engine and the last plain endpoint are in a zone of their own that is evacuated now and then; no request may start there later than 5 s after the write until the removal, at a gateway that was undisturbed by then. The endpoints had been in the gateways' zone; none is nearer than another still. The faults of the seeds are drawn as before.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -40,6 +40,7 @@
 		checkStamp(cluster, o, runs)
 		checkTimeLimits(cluster, o, runs)
 		checkNotCut(cluster, o, runs)
+		checkEvacuation(cluster, o, runs)
 	}
 }
 
--- a/faults/soak/cluster.go
+++ b/faults/soak/cluster.go
@@ -75,6 +75,8 @@
 	addedKeys     map[string]time.Time
 	// holders are the customers that have held a key that was passed on.
 	holders map[string][]holding
+	// evacuations are the times for which zoneEvacuated was evacuated.
+	evacuations []evacuation
 	// storeDisturbedAt is when the store last began or ceased to fail.
 	storeDisturbedAt time.Time
 }
@@ -163,6 +165,9 @@
 
 func (c *Cluster) addEngine(n int) error {
 	s := &Backend{Endpoint: NewEndpoint("llm", c.address(31, n, 8000), c.address(30, n, 8000), true, c.store, c.recorder)}
+	if n == engineCount {
+		s.zone = zoneEvacuated
+	}
 	var err error
 	if s.proxy, err = NewProxy(s.publicAddress, s.listenAddress); err != nil {
 		return err
@@ -217,6 +222,9 @@
 
 func (c *Cluster) startPlainService(service string, n int) (*Backend, error) {
 	s := &Backend{Endpoint: NewEndpoint(service, c.address(41, n, 8000), c.address(40, n, 8000), false, c.store, c.recorder)}
+	if n == plainServiceCount {
+		s.zone = zoneEvacuated
+	}
 	var err error
 	if s.proxy, err = NewProxy(s.publicAddress, s.listenAddress); err != nil {
 		return nil, err
@@ -235,7 +243,7 @@
 		"links": c.address(10, n, 7600), "metrics": c.address(10, n, 9464), "keeperPort": 7600,
 		"store": map[string]any{"address": c.address(20, n, 9000), "timeout": storeTimeout.String()},
 		"grace": gracePeriod.String(), "repeatSlack": 9, "gateways": gatewayCount, "remoteLoads": 4, "memoryMb": gatewayMemoryMB,
-		"logLevel": "info",
+		"evacuationTime": evacuationLimit.String(), "logLevel": "info",
 	})
 	if err != nil {
 		return err
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -130,6 +130,7 @@
 // Endpoint is a fake of a model engine or of a plain service.
 type Endpoint struct {
 	service string
+	zone    string
 	// listenAddress is where the endpoint listens. publicAddress is the address of its
 	// proxy, which its store entry names.
 	listenAddress, publicAddress string
@@ -171,7 +172,7 @@
 // NewEndpoint returns an endpoint that has not started.
 func NewEndpoint(service, listenAddress, publicAddress string, isEngine bool, store *Store, recorder *Recorder) *Endpoint {
 	return &Endpoint{
-		service: service, listenAddress: listenAddress, publicAddress: publicAddress, isEngine: isEngine, store: store, recorder: recorder,
+		service: service, zone: zoneInUse, listenAddress: listenAddress, publicAddress: publicAddress, isEngine: isEngine, store: store, recorder: recorder,
 	}
 }
 
@@ -304,7 +305,7 @@
 		state = "draining"
 	}
 	return e.store.Put(knapweedpulley.KindEndpoints, e.id, map[string]any{
-		"service": e.service, "address": e.publicAddress, "zone": "a", "slots": 8, "state": state, "born": e.startedAtMs,
+		"service": e.service, "address": e.publicAddress, "zone": e.zone, "slots": 8, "state": state, "born": e.startedAtMs,
 		"models": e.modelEntries(), "seq": e.sequence,
 	})
 }
--- a/faults/soak/injector.go
+++ b/faults/soak/injector.go
@@ -18,6 +18,8 @@
 	endlessStream = 1 << 33
 	mergeStream   = 1 << 34
 	orderStream   = 1 << 35
+	// evacuationStream draws the evacuations of a zone.
+	evacuationStream = 1 << 36
 )
 
 // Injector injects random faults into a cluster, several at a time.
@@ -25,9 +27,10 @@
 	cluster *Cluster
 	random  *rand.Rand
 	// seriesRandom draws the series of faults, endlessRandom the endpoints that send without end,
-	// mergeRandom the mergers of customers and orderRandom the late orders. The draws of random do
-	// not depend on them, so that the regression seeds keep their faults.
-	seriesRandom, endlessRandom, mergeRandom, orderRandom *rand.Rand
+	// mergeRandom the mergers of customers, orderRandom the late orders and evacuationRandom the
+	// evacuations. The draws of random do not depend on them, so that the regression seeds keep their
+	// faults.
+	seriesRandom, endlessRandom, mergeRandom, orderRandom, evacuationRandom *rand.Rand
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -47,7 +50,7 @@
 	}
 	return &Injector{
 		cluster: cluster, random: random, seriesRandom: source(seriesStream), endlessRandom: source(endlessStream),
-		mergeRandom: source(mergeStream), orderRandom: source(orderStream),
+		mergeRandom: source(mergeStream), orderRandom: source(orderStream), evacuationRandom: source(evacuationStream),
 		counts: make(map[string]int), busySubjects: make(map[any]bool),
 	}
 }
@@ -79,6 +82,7 @@
 	i.active.Go(func() { i.runSeries(ctx) })
 	i.active.Go(func() { i.runEndless(ctx) })
 	i.active.Go(func() { i.mergeCustomers(ctx) })
+	i.active.Go(func() { i.evacuateZone(ctx) })
 	i.active.Go(func() {
 		for ctx.Err() == nil {
 			i.lateOrders(i.orderRandom)
--- a/faults/soak/soak_test.go
+++ b/faults/soak/soak_test.go
@@ -207,6 +207,31 @@
 	})
 }
 
+func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
+	t.Parallel()
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		outcomes := runAlone(t, "evacuation", seed, func(c *soak.Cluster, _ *rand.Rand) ([]soak.Outcome, error) {
+			calls := soak.NewCallers(c)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var group sync.WaitGroup
+			for n := range callerCount {
+				group.Go(func() { calls.Run(ctx, n, seed) })
+			}
+			time.Sleep(recoveryPause / 2)
+			err := c.Evacuate(recoveryPause + time.Second)
+			time.Sleep(recoveryPause / 2)
+			cancel()
+			group.Wait()
+			if c.RunsInEvacuatedZone(calls.Outcomes()) == 0 {
+				t.Error("the zone had no requests at all, so that the check shows nothing")
+			}
+			return calls.Outcomes(), err
+		})
+		t.Logf("seed %d: %d requests", seed, len(outcomes))
+	})
+}
+
 func TestClusterLeavesNetworkToOtherPrograms(t *testing.T) {
 	t.Parallel()
 	const seed = 1
--- a/faults/soak/store.go
+++ b/faults/soak/store.go
@@ -82,8 +82,11 @@
 		return
 	}
 	kind := knapweedpulley.KindEndpoints
-	if strings.HasSuffix(r.URL.Path, "/config") {
+	switch {
+	case strings.HasSuffix(r.URL.Path, "/config"):
 		kind = knapweedpulley.KindInstallation
+	case strings.HasSuffix(r.URL.Path, "/evacuations"):
+		kind = knapweedpulley.KindEvacuations
 	}
 	if after := r.URL.Query().Get("watch"); after != "" {
 		s.watch(w, r, kind, after)
