--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -152,9 +152,8 @@
 	feeds, closeFeeds := link.NewConnections(nil)
 	p.cleanups.Add(closeFeeds)
 	follower, closeFollower := installation.NewFollower(installation.Options{
-		Self: self, Peers: p.peers, Link: link.NewConfigurationClient(feeds),
+		Self: self, Peers: p.peers, Link: link.NewConfigurationClient(feeds), Evacuations: p.settings.EvacuationTime > 0,
 		Objects: objects, Decoder: platform.InstallationDecoder{}, Clock: clock, Log: p.log,
-		Evacuations:     p.settings.EvacuationTime > 0,
 		OnConfiguration: p.configure, OnEndpoints: p.fleet.Update,
 	})
 	p.follower = follower
@@ -181,6 +180,11 @@
 	p.cleanups.Add(closeLinks, closeFollower)
 	p.cleanups.Add(machine.Every(sweepPeriod, pool.Sweep), machine.Every(gatewayCountPeriod, p.updateGatewayCount))
 	p.reportEvacuations(meter)
+	return p.serve(metrics)
+}
+
+// serve starts the servers for readiness probes, metrics and callers.
+func (p *process) serve(metrics http.Handler) error {
 	if err := p.serveReadinessAndMetrics(metrics); err != nil {
 		return err
 	}
--- a/installation/evacuation_test.go
+++ b/installation/evacuation_test.go
@@ -345,7 +345,7 @@
 		{name: "in which the zone was still evacuated", newest: 2, older: 1, used: true},
 		{name: "in which the zone was not evacuated yet", newest: 3, older: 2, used: false},
 	} {
-		runWithFakeTime(c.name, t, func(t *testing.T, f *fixture) {
+		runWithFakeTime(c.name, t, func(_ *testing.T, f *fixture) {
 			newest, older := writeTo(f, c.newest), writeTo(f, c.older)
 			s := &replicatedStore{}
 			s.answering.Store(newest)
