--- a/logbook/trace/trace_test.go
+++ b/logbook/trace/trace_test.go
@@ -102,3 +102,14 @@
 		}
 	})
 }
+
+func TestCauseOfRefusalInEvacuatedZones(t *testing.T) {
+	lines, _, err := trace.Read(strings.NewReader(
+		`{"fields":{"request":"r1","route":"chat","model":"m","code":"evacuated","waitedMs":900,"aimMs":600},"message":"request refused"}`))
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(trace.CauseOf(&lines[0]), trace.Evacuated)
+	var b bytes.Buffer
+	is.NoErr(trace.WriteTable(&b, lines))
+	assertHas(t, b.String(), "zones evacuated", true)
+}
