--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -98,6 +98,9 @@
 		if len(p.fleet.Holders(r.Service, r.Weights)) > 0 {
 			return nil
 		}
+		if err := p.fleet.CheckEvacuation(r.Service); err != nil {
+			return err
+		}
 		left := r.Deadline.Sub(p.clock.Now())
 		if left <= 0 {
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeDeadlineExceeded, knapweedpulley.NotRun,
@@ -159,7 +162,7 @@
 			}
 			return eta, true
 		}
-		delete(p.pendingLoads, t)
+		p.forget(t, last)
 	}
 	e, eta, tier, found := p.chooseEndpoint(t)
 	if !found {
@@ -208,6 +211,9 @@
 	message := knapweedpulley.ResidentLoadRequest{
 		Resident: t.weights, Priority: r.Priority, Expires: min(lifetime, r.Deadline.Sub(now)),
 	}
+	if message.Expires == withdrawn {
+		message.Expires--
+	}
 	if now.After(r.TargetTime) {
 		message.Priority += latePriorityOffset
 	}
