--- a/installation.go
+++ b/installation.go
@@ -164,6 +164,8 @@
 	Evacuated bool
 	// ColdFor is how long the endpoint stays cold, from the arrival of the registration.
 	ColdFor time.Duration
+	// Arrived is when the registration arrived at the process.
+	Arrived Instant
 	// Models lists the models that the endpoint holds.
 	Models []LoadedModel
 	// Cached lists the checkpoints that the endpoint's machine holds outside the engine.
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -211,6 +211,7 @@
 		f.logInvalid(o, err)
 		return
 	}
+	e.Arrived = f.clock.Now()
 	f.invalid.Remove(id)
 	last, known := f.endpoints[id]
 	if !known || last.Start != e.Start || last.Draining != e.Draining {
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -33,6 +33,7 @@
 
 	mu        sync.Mutex
 	endpoints knapweedpulley.Set[knapweedpulley.EndpointID]
+	arrivals  map[knapweedpulley.EndpointID]knapweedpulley.Instant
 	updates   int
 	logged    bytes.Buffer
 }
@@ -79,7 +80,9 @@
 	defer f.mu.Unlock()
 	f.updates++
 	f.endpoints = make(knapweedpulley.Set[knapweedpulley.EndpointID])
+	f.arrivals = make(map[knapweedpulley.EndpointID]knapweedpulley.Instant)
 	for _, e := range list {
+		f.arrivals[e.ID] = e.Arrived
 		if !e.Draining {
 			f.endpoints.Add(e.ID)
 		}
@@ -228,6 +231,17 @@
 		f.assertUses("good", true)
 		f.assertUses("spoiled", false)
 	})
+	runWithFakeTime("a registration keeps its arrival until it is written again", t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		f.start()
+		f.register("a")
+		first := f.arrivals["a"]
+		is.True(first != 0)
+		f.register("b")
+		is.Equal(f.arrivals["a"], first)
+		f.register("a")
+		is.True(f.arrivals["a"] > first)
+	})
 	runWithFakeTime("changes in quick succession are applied together", t, func(t *testing.T, f *fixture) {
 		is := is.New(t)
 		f.start()
