Keep requests to cold endpoints within the gateway's share

Cold endpoints crash at rates that they sustain later, and all gateways sent them as much as to others. For services with a limit, the choice now prefers warm endpoints and leaves out cold ones without a share left; the share is taken in the operation that begins a request, also when a call moves or returns to an endpoint, and is given back if nothing was sent. A call all of whose endpoints are cold without a share reserves the next part, or is refused at once by the policy for endpoints that want no requests; a model is asked for at another engine if that is sooner.

BeginRequest now reports whether the request begins; the existing tests of fleet and placement assert or take that value, and are otherwise as they were.

Run: go test -race -p 2 ./warmup ./fleet ./placement ./gateway ./holdback, all passed.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -74,9 +74,11 @@
 	allowances *contract.Allowances
 	// term is how long the gateway holds its parts of what all gateways share. held is set while it
 	// does, as far as that was logged.
-	term      *term.Term
-	held      bool
-	roster    *fleet.Roster
+	term   *term.Term
+	held   bool
+	roster *fleet.Roster
+	// cold holds the endpoints that are logged as cold.
+	cold      knapweedpulley.Set[knapweedpulley.EndpointID]
 	budget    *gateway.RetryBudget
 	peers     *gateway.Peers
 	gateway   *gateway.Gateway
@@ -182,6 +184,8 @@
 func (p *process) buildShares(clock knapweedpulley.Clock, self knapweedpulley.Member) {
 	p.term, p.held = term.New(clock), true
 	p.roster = fleet.NewRoster(clock, self.Entry, p.term)
+	p.fleet.ShareWarmUp(self.Entry, p.term)
+	p.cold = make(knapweedpulley.Set[knapweedpulley.EndpointID])
 	p.peers = gateway.NewPeers(self)
 	p.allowances = contract.NewAllowances(clock, self.Entry, p.settings.Gateways)
 	p.allowances.Bind(p.term)
@@ -204,6 +208,13 @@
 	}
 	p.allowances.Configure(contracts)
 	p.placer.Configure(s.Services)
+	limits := make(map[knapweedpulley.ServiceID]knapweedpulley.WarmUpLimit)
+	for id, service := range s.Services {
+		if limit, limited := service.WarmUp.Get(); limited {
+			limits[id] = limit
+		}
+	}
+	p.fleet.ConfigureWarmUp(limits)
 }
 
 // newSuspects returns the list of suspects of crashes, with connections of its own, and keeps the
@@ -229,6 +240,8 @@
 func (p *process) updateGatewayCount() {
 	members, known := p.roster.Update(p.placer.Electors())
 	p.logTerm(len(members))
+	p.fleet.Tick()
+	p.logCold()
 	if !known {
 		n, some := p.roster.Assumed()
 		if !some {
@@ -239,6 +252,7 @@
 	}
 	n := len(members)
 	p.peers.SetMembers(members)
+	p.fleet.SetGateways(members)
 	p.allowances.Assign(members)
 	p.budget.SetGatewayCount(n)
 	p.placer.SetGatewayCount(n)
@@ -259,6 +273,25 @@
 	}
 }
 
+// logCold logs which endpoints have become cold, with the gateway's share of the requests that they
+// bear, and which are warm again.
+func (p *process) logCold() {
+	cold := p.fleet.Cold()
+	for id, e := range cold {
+		if !p.cold.Has(id) {
+			p.cold.Add(id)
+			p.log.WithField("endpoint", id).WithField("service", e.Registration().Service).WithField("share", e.Share).
+				WithField("coldMs", e.WarmAt.Sub(p.clock.Now()).Milliseconds()).Info("endpoint is cold; its requests are limited")
+		}
+	}
+	for id := range p.cold {
+		if _, is := cold[id]; !is {
+			p.cold.Remove(id)
+			p.log.WithField("endpoint", id).Info("endpoint is no longer cold")
+		}
+	}
+}
+
 // serveReadinessAndMetrics starts the servers for the readiness probes of the platform's load
 // balancer and for metrics.
 func (p *process) serveReadinessAndMetrics(metrics http.Handler) error {
--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/warmup"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// fullCacheCost is the cost of an endpoint whose token memory is full, so that a
 	// request would be preempted or wait.
 	fullCacheCost = 500 * time.Millisecond
+	// coldCost is the cost of an endpoint that is cold, which answers slowly. Callers are
+	// better served by a warm endpoint unless about ten requests wait there.
+	coldCost = 500 * time.Millisecond
 	// prefillPerToken is the time in which an engine processes a token of a prompt:
 	// about 20 tokens in a millisecond.
 	prefillPerToken = 50 * time.Microsecond
@@ -59,6 +63,7 @@
 
 // candidates returns the endpoints that hold what the request needs.
 func (f *Fleet) candidates(needs Requirements) []*Endpoint {
+	f.noticeSuspension()
 	x := f.index.Load()
 	if needs.Weights.Model != "" {
 		return x.holders[needs.Service][needs.Weights]
@@ -66,27 +71,26 @@
 	return x.services[needs.Service]
 }
 
-// Offers reports whether an endpoint holds what the request needs and takes requests.
-func (f *Fleet) Offers(e *Endpoint, needs Requirements) bool {
-	_, held := e.HeldUntil()
-	return !held && slices.Contains(f.candidates(needs), e)
-}
-
-// HeldUntil returns when the first of the endpoints that hold what the request needs takes requests
-// again. It returns false unless all of them are held back.
-func (f *Fleet) HeldUntil(needs Requirements) (knapweedpulley.Instant, bool) {
-	var earliest knapweedpulley.Instant
-	found := false
-	for _, e := range f.candidates(needs) {
-		until, held := e.HeldUntil()
-		if !held {
-			return 0, false
+// Begin begins a request at the endpoint that Choose returns.
+func (f *Fleet) Begin(needs Requirements) (*ActiveRequest, bool) {
+	for {
+		e, found := f.Choose(needs)
+		if !found {
+			return nil, false
 		}
-		if !found || until < earliest {
-			earliest, found = until, true
+		// Another request may have taken the share of a cold endpoint since the choice, which is
+		// excluded from the next one then.
+		if r, begun := e.BeginRequest(needs.Prompt); begun {
+			return r, true
 		}
 	}
-	return earliest, found
+}
+
+// Offers reports whether an endpoint holds what the request needs and takes requests.
+func (f *Fleet) Offers(e *Endpoint, needs Requirements) bool {
+	now := f.clock.Now()
+	at, _ := e.freeAt(now)
+	return !at.After(now) && slices.Contains(f.candidates(needs), e)
 }
 
 // best returns the candidate with the lowest cost. An endpoint whose connections
@@ -96,15 +100,23 @@
 	var best *Endpoint
 	var lowest time.Duration
 	bestAvoided := false
+	var moment warmup.Moment
 	for _, e := range candidates {
 		if _, held := e.HeldUntil(); held || needs.Avoid.Has(e.id) || needs.MaxSilence > 0 && e.Silent(needs.MaxSilence) {
 			continue
 		}
+		cold, free := e.coldAt(&moment)
+		if !free {
+			continue
+		}
 		avoided := e.Avoided()
 		if best != nil && avoided && !bestAvoided {
 			continue
 		}
 		cost := f.cost(e, needs)
+		if cold {
+			cost += coldCost
+		}
 		if e == preferred {
 			cost -= time.Duration(needs.Shared) * prefillPerToken
 		}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/warmup"
 )
 
 const (
@@ -71,10 +72,12 @@
 	silentAt  atomic.Int64
 	// leaving is set once the endpoint has said that it is leaving.
 	leaving atomic.Bool
+	// warmUp outlives a restart of the endpoint.
+	warmUp *warmup.Endpoint
 }
 
-func newEndpoint(id knapweedpulley.EndpointID, clock knapweedpulley.Clock) *Endpoint {
-	return &Endpoint{id: id, clock: clock}
+func newEndpoint(id knapweedpulley.EndpointID, clock knapweedpulley.Clock, w *warmup.Endpoint) *Endpoint {
+	return &Endpoint{id: id, clock: clock, warmUp: w}
 }
 
 // ID returns the endpoint's id.
@@ -205,6 +208,8 @@
 	Broken
 	// Inconclusive requests say nothing about the endpoint.
 	Inconclusive
+	// Unsent requests were not sent, or didn't reach the instance for which they were meant.
+	Unsent
 )
 
 // ActiveRequest is a request in progress at an endpoint.
@@ -212,29 +217,48 @@
 	*Endpoint
 	prompt     int64
 	prefilling atomic.Bool
+	ticket     warmup.Ticket
 }
 
-// BeginRequest counts a request with the given number of prompt tokens as active.
-func (e *Endpoint) BeginRequest(prompt knapweedpulley.Tokens) *ActiveRequest {
-	r := &ActiveRequest{Endpoint: e, prompt: int64(prompt)}
-	r.prefilling.Store(true)
-	if e.active.Add(1) == 1 {
-		e.busySince.Store(int64(e.clock.Now()))
+// BeginRequest counts a request with the given number of prompt tokens as active. It returns false if
+// the endpoint is cold and the gateway's share of its limit is used up.
+func (e *Endpoint) BeginRequest(prompt knapweedpulley.Tokens) (*ActiveRequest, bool) {
+	t, taken := e.takeShare()
+	if !taken {
+		return nil, false
 	}
-	e.promptTokens.Add(r.prompt)
-	return r
+	return e.activate(prompt, t), true
 }
 
 // TryBeginRequest does the same as BeginRequest if the endpoint has a free slot for the request.
 func (e *Endpoint) TryBeginRequest(prompt knapweedpulley.Tokens) (*ActiveRequest, bool) {
-	r := e.BeginRequest(prompt)
+	r, begun := e.BeginRequest(prompt)
+	if !begun {
+		return nil, false
+	}
 	if slots := e.Slots(); slots > 0 && e.Load() > slots {
-		r.End(Inconclusive)
+		r.End(Unsent)
 		return nil, false
 	}
 	return r, true
 }
 
+// activate counts a request as active.
+func (e *Endpoint) activate(prompt knapweedpulley.Tokens, t warmup.Ticket) *ActiveRequest {
+	r := &ActiveRequest{Endpoint: e, prompt: int64(prompt), ticket: t}
+	r.prefilling.Store(true)
+	if e.active.Add(1) == 1 {
+		e.busySince.Store(int64(e.clock.Now()))
+	}
+	e.promptTokens.Add(r.prompt)
+	return r
+}
+
+// Cold reports whether the request has taken a part of the share for a cold endpoint.
+func (r *ActiveRequest) Cold() bool {
+	return r.ticket.Cold()
+}
+
 // PromptProcessed records that the endpoint has processed the prompt.
 func (r *ActiveRequest) PromptProcessed() {
 	if r.prefilling.CompareAndSwap(true, false) {
@@ -256,6 +280,8 @@
 	case Broken:
 		r.recordFailure(1)
 		r.backOff()
+	case Unsent:
+		r.ticket.Return()
 	case Inconclusive:
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,12 +6,14 @@
 // counters in the endpoints. The index is rebuilt when a registration or a set of
 // loaded models changes.
 //
+// Requests to endpoints that are cold are bounded by package warmup, for services that
+// have a limit.
+//
 // # Usage
 //
 //	f := fleet.New(clock, zone)
 //	f.Update(endpoints)
-//	if e, found := f.Choose(fleet.Requirements{Service: "llm", Weights: weights}); found {
-//		request := e.BeginRequest(prompt)
+//	if request, begun := f.Begin(fleet.Requirements{Service: "llm", Weights: weights}); begun {
 //		defer request.End(fleet.Answered)
 //	}
 package fleet
@@ -41,14 +43,17 @@
 	clock knapweedpulley.Clock
 	zone  knapweedpulley.ZoneID
 	index atomic.Pointer[index]
-	// mu is held to replace the index. It guards departures.
+	// runningAt is when the process last recorded that it is running, zero if no endpoint can be cold.
+	runningAt atomic.Int64
+	// mu is held to replace the index. It guards departures and warmUps.
 	mu         sync.Mutex
 	departures departures
+	warmUps    warmUps
 }
 
 // New returns an empty fleet, seen from a zone.
 func New(clock knapweedpulley.Clock, zone knapweedpulley.ZoneID) *Fleet {
-	f := &Fleet{clock: clock, zone: zone, departures: make(departures)}
+	f := &Fleet{clock: clock, zone: zone, departures: make(departures), warmUps: newWarmUps()}
 	f.index.Store(buildIndex(nil))
 	return f
 }
@@ -71,12 +76,14 @@
 		}
 		e, known := last.byID[r.ID]
 		if !known || e.Registration().Start != r.Start {
-			e = newEndpoint(r.ID, f.clock)
+			e = newEndpoint(r.ID, f.clock, f.warmUps.of(last.byID, r.ID))
 			e.leaving.Store(f.departures.has(r.ID, r.Start))
 		}
+		f.warmUps.register(last.byID[r.ID], e, r, f.clock.Now())
 		e.registration.Store(&r)
 		next[r.ID] = e
 	}
+	f.warmUps.retain(last.byID, next, f.clock.Now())
 	f.replace(last, next)
 }
 
@@ -86,6 +93,7 @@
 	defer f.mu.Unlock()
 	before, unreachable := e.Models(), e.Unreachable()
 	e.setReport(r)
+	e.warmUp.ReportStart(r.Start, f.clock.Now())
 	if unreachable || !knapweedpulley.SameModels(before, e.Models()) {
 		last := f.index.Load()
 		f.replace(last, last.byID)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// begin begins a request at an endpoint.
+func begin(t *testing.T, e *fleet.Endpoint, prompt knapweedpulley.Tokens) *fleet.ActiveRequest {
+	t.Helper()
+	r, begun := e.BeginRequest(prompt)
+	is.New(t).True(begun)
+	return r
+}
+
 func inBubble(name string, t *testing.T, f func(t *testing.T, f *fleet.Fleet)) {
 	t.Helper()
 	t.Run(name, func(t *testing.T) {
@@ -82,13 +90,13 @@
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "m")})
 		assertChoice(t, f, requirements("m"), "a")
 		for range 20 {
-			f.Endpoints()["a"].BeginRequest(100)
+			begin(t, f.Endpoints()["a"], 100)
 		}
 		assertChoice(t, f, requirements("m"), "b")
 	})
 	inBubble("an endpoint with a broken connection is chosen only if there is no other", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "m")})
-		f.Endpoints()["a"].BeginRequest(0).End(fleet.Broken)
+		begin(t, f.Endpoints()["a"], 0).End(fleet.Broken)
 		assertChoice(t, f, requirements("m"), "b")
 		n := requirements("m")
 		n.Avoid = knapweedpulley.NewSet[knapweedpulley.EndpointID]("b")
@@ -98,7 +106,7 @@
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "m")})
 		n := requirements("m")
 		n.MaxSilence = time.Second
-		a := f.Endpoints()["a"].BeginRequest(0)
+		a := begin(t, f.Endpoints()["a"], 0)
 		assertChoice(t, f, n, "a")
 		time.Sleep(n.MaxSilence)
 		assertChoice(t, f, n, "b")
@@ -111,11 +119,11 @@
 	inBubble("a failing endpoint is avoided until its requests succeed", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m"), registration("b", "away", "m")})
 		for range 5 {
-			f.Endpoints()["a"].BeginRequest(0).End(fleet.Failed)
+			begin(t, f.Endpoints()["a"], 0).End(fleet.Failed)
 		}
 		assertChoice(t, f, requirements("m"), "b")
 		for range 50 {
-			f.Endpoints()["a"].BeginRequest(0).End(fleet.Answered)
+			begin(t, f.Endpoints()["a"], 0).End(fleet.Answered)
 		}
 		assertChoice(t, f, requirements("m"), "a")
 	})
@@ -205,7 +213,7 @@
 		f.ApplyReport(e, knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Running: 4})
 		time.Sleep(500 * time.Millisecond)
 		for range 3 {
-			e.BeginRequest(0)
+			begin(t, e, 0)
 		}
 		is.Equal(e.Load(), 7)
 		f.ApplyReport(e, knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Running: 4, Age: 510 * time.Millisecond})
@@ -228,7 +236,7 @@
 		is := is.New(t)
 		f.Update([]knapweedpulley.RegisteredEndpoint{registration("a", "home", "m")})
 		e := f.Endpoints()["a"]
-		request := e.BeginRequest(0)
+		request := begin(t, e, 0)
 		f.ApplyReport(e, knapweedpulley.EngineReport{Lifetime: reportLifetime, Start: 1, Models: loaded("m"), Running: 5})
 		is.Equal(e.Load(), 5)
 		request.End(fleet.Answered)
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -70,6 +70,8 @@
 	lastEventAt knapweedpulley.Instant
 	// loadAtChoice is the number of requests at the endpoint at the time it was chosen.
 	loadAtChoice int
+	// coldSends counts the attempts at endpoints that were cold.
+	coldSends int
 	// stalls counts the attempts that were canceled because the endpoint sent nothing for too long.
 	stalls int
 	// notRetried says why the call was not sent again after its last attempt, notMoved why it last
@@ -112,7 +114,7 @@
 func (h *callHandler) sendUntilDone(ctx context.Context) error {
 	defer func() {
 		if h.next != nil {
-			h.next.End(fleet.Inconclusive)
+			h.next.End(fleet.Unsent)
 		}
 	}()
 	for {
@@ -139,20 +141,26 @@
 	h.next = nil
 	if visit == nil && h.hasRunOut() && h.left != nil {
 		// mayReturn has allowed this.
-		visit = h.left.BeginRequest(h.call.Prompt)
-		h.left = nil
+		var err error
+		if visit, err = h.returnToLeft(); err != nil {
+			h.recordDenial(ctx, "endpoint")
+			return nil, err
+		}
 	}
 	if visit == nil {
-		e, err := h.findEndpoint(ctx)
+		var err error
+		visit, err = h.findEndpoint(ctx)
 		if shutdownErr := h.checkShutdown(); shutdownErr != nil {
 			h.recordDenial(ctx, "shutdown")
+			if visit != nil {
+				visit.End(fleet.Unsent)
+			}
 			return nil, shutdownErr
 		}
 		if err != nil {
 			h.recordDenial(ctx, "endpoint")
 			return nil, err
 		}
-		visit = e.BeginRequest(h.call.Prompt)
 	}
 	reason, err := "configuration", h.readmit(ctx)
 	if err == nil {
@@ -160,9 +168,25 @@
 	}
 	if err != nil {
 		h.recordDenial(ctx, reason)
-		visit.End(fleet.Inconclusive)
+		visit.End(fleet.Unsent)
 		return nil, err
 	}
+	if visit.Cold() {
+		h.coldSends++
+	}
+	return visit, nil
+}
+
+// returnToLeft begins the call at the endpoint that it was moved away from. Another call may have taken
+// the share of that endpoint since mayReturn; the call can't run anywhere else.
+func (h *callHandler) returnToLeft() (*fleet.ActiveRequest, error) {
+	e := h.left
+	h.left = nil
+	visit, begun := e.BeginRequest(h.call.Prompt)
+	if !begun {
+		return nil, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
+			"endpoint %s is cold and takes no more requests now", e.ID())
+	}
 	return visit, nil
 }
 
@@ -227,20 +251,20 @@
 	return min(until, h.shutdown.Load().latestSend(h.commitment()))
 }
 
-// findEndpoint returns the endpoint for the next attempt. It waits until there is one.
-func (h *callHandler) findEndpoint(ctx context.Context) (*fleet.Endpoint, error) {
+// findEndpoint begins the next attempt at the endpoint that suits it best. It waits until there is one.
+func (h *callHandler) findEndpoint(ctx context.Context) (*fleet.ActiveRequest, error) {
 	start := h.Clock.Now()
 	defer func() { h.waited += h.Clock.Now().Sub(start) }()
 	need := h.need()
-	if e, found := h.Fleet.Choose(need); found {
-		return e, nil
+	if visit, begun := h.Fleet.Begin(need); begun {
+		return visit, nil
 	}
 	ctx, cancel := h.waitContext(ctx)
 	defer cancel()
 	for {
 		changed := h.Fleet.Changed()
-		if e, found := h.Fleet.Choose(need); found {
-			return e, nil
+		if visit, begun := h.Fleet.Begin(need); begun {
+			return visit, nil
 		}
 		if len(h.avoid) > 0 {
 			// All usable endpoints have been tried. Those that refused may have capacity
@@ -249,9 +273,9 @@
 			h.backOff(ctx, changed)
 			continue
 		}
-		if until, held := h.Fleet.HeldUntil(need); held {
-			if err := h.awaitRelease(ctx, changed, until); err != nil {
-				return nil, err
+		if hold, held := h.Fleet.Hold(need); held {
+			if visit, err := h.awaitRelease(ctx, need, changed, hold); visit != nil || err != nil {
+				return visit, err
 			}
 			continue
 		}
@@ -268,15 +292,40 @@
 }
 
 // awaitRelease waits until the first of the call's endpoints takes requests again, or for a change of
-// the fleet. It refuses the call at once if it couldn't be answered in time then.
-func (h *callHandler) awaitRelease(ctx context.Context, changed <-chan struct{}, until knapweedpulley.Instant) error {
+// the fleet. It refuses the call at once if it couldn't be answered in time then. It returns a request
+// if it has begun one.
+func (h *callHandler) awaitRelease(
+	ctx context.Context, need fleet.Requirements, changed <-chan struct{}, hold fleet.Hold,
+) (*fleet.ActiveRequest, error) {
 	now := h.Clock.Now()
+	if !hold.Until.After(now) {
+		// An endpoint takes requests since the last choice.
+		return nil, nil
+	}
+	until, loading := hold.Until, false
+	if hold.Cold && need.Weights.Model != "" {
+		if eta, sooner := h.Placer.LoadWithin(h.loadRequest(), until.Sub(now)); sooner {
+			until, loading = now.Add(eta), true
+		}
+	}
 	wait, inTime := h.HoldPolicy.Wait(knapweedpulley.HeldCall{
 		Now: now, FreeAt: until, LatestStart: h.callerPatienceEnd().Add(-firstEventReserve), Priority: h.admission.Priority,
 	})
+	if hold.Cold {
+		h.Meter.recordColdHold(inTime)
+	}
 	if !inTime {
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeHeldBack, knapweedpulley.NotRun,
-			"all endpoints of service %s want no requests for %s", h.admission.Service.ID, until.Sub(now)).WithRetryAfter(wait)
+		cause := "want no requests"
+		if hold.Cold {
+			cause = "are cold and take no more requests"
+		}
+		return nil, knapweedpulley.NewRefusal(knapweedpulley.CodeHeldBack, knapweedpulley.NotRun,
+			"all endpoints of service %s %s for %s", h.admission.Service.ID, cause, until.Sub(now)).WithRetryAfter(wait)
+	}
+	if hold.Cold && !loading {
+		if r, reserved := h.Fleet.Reserve(hold); reserved {
+			return h.awaitReservation(ctx, need, r)
+		}
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -284,10 +333,44 @@
 	case <-changed:
 	case <-timer.C:
 	case <-ctx.Done():
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
-			"the caller disconnected while all endpoints wanted no requests")
+		return nil, h.leftWhileHeld()
 	}
-	return nil
+	return nil, nil
+}
+
+// awaitReservation waits until the call may begin with a reserved part of the share of a cold endpoint,
+// or until another endpoint takes it. It returns nothing if the reservation can no longer be used.
+func (h *callHandler) awaitReservation(
+	ctx context.Context, need fleet.Requirements, r *fleet.Reservation,
+) (*fleet.ActiveRequest, error) {
+	timer := time.NewTimer(r.At.Sub(h.Clock.Now()))
+	defer timer.Stop()
+	for {
+		changed := h.Fleet.Changed()
+		select {
+		case <-changed:
+			if visit, begun := h.Fleet.Begin(need); begun {
+				r.Return()
+				return visit, nil
+			}
+		case <-timer.C:
+			if visit, begun := h.Fleet.BeginReserved(r, need); begun {
+				return visit, nil
+			}
+			r.Return()
+			return nil, nil
+		case <-ctx.Done():
+			r.Return()
+			return nil, h.leftWhileHeld()
+		}
+	}
+}
+
+// leftWhileHeld returns the refusal of a call whose caller has left while it waited for an endpoint that
+// takes requests.
+func (h *callHandler) leftWhileHeld() error {
+	return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
+		"the caller disconnected while all endpoints wanted no requests")
 }
 
 // backOff waits for refusalBackoff or a change of the fleet, whichever comes first. For a moved call,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,6 +105,7 @@
 		"endpoint":   h.endpoint,
 		"sends":      h.sends,
 		"stalls":     h.stalls,
+		"coldSends":  h.coldSends,
 		"notRetried": h.notRetried,
 		"notMoved":   h.notMoved,
 		"events":     h.events,
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -38,6 +38,16 @@
 	m.scope.Counter("holds").Inc(1)
 }
 
+// recordColdHold counts a call all of whose endpoints are cold without a share left for it. It waits
+// if it can be answered in time, and is refused otherwise.
+func (m *Meter) recordColdHold(waits bool) {
+	action := "refused"
+	if waits {
+		action = "waits"
+	}
+	m.scope.Tagged(map[string]string{"action": action}).Counter("cold_holds").Inc(1)
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
@@ -57,6 +67,9 @@
 	if h.sends > 1 {
 		scope.Counter("repeats").Inc(int64(h.sends - 1))
 	}
+	if h.coldSends > 0 {
+		scope.Counter("cold_sends").Inc(int64(h.coldSends))
+	}
 	if h.stalls > 0 {
 		scope.Counter("stalls").Inc(int64(h.stalls))
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -69,9 +69,7 @@
 	defer reply.Close()
 	h.observe(e, reply)
 	if reply.NotRun() || reply.Misdirected() {
-		if !reply.Misdirected() {
-			outcome = fleet.Failed
-		}
+		outcome = refusalOutcome(reply)
 		h.status = reply.Head().Status
 		return true, knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
 			"endpoint %s refused the request with status %d", e.ID(), reply.Head().Status)
@@ -98,6 +96,14 @@
 	return retryable, err
 }
 
+// refusalOutcome returns the outcome of a request that its endpoint has refused.
+func refusalOutcome(reply knapweedpulley.Reply) fleet.Outcome {
+	if reply.Misdirected() {
+		return fleet.Unsent
+	}
+	return fleet.Failed
+}
+
 // observe records what an answer says of its endpoint: its load, and whether it is leaving.
 func (h *callHandler) observe(e *fleet.Endpoint, reply knapweedpulley.Reply) {
 	e.RecordActivity()
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -197,7 +197,7 @@
 		return nil, "slot"
 	}
 	if !w.gateway.RetryBudget.TryWithdraw(w.admission.Service.ID) {
-		next.End(fleet.Inconclusive)
+		next.End(fleet.Unsent)
 		return nil, "retryBudget"
 	}
 	return next, ""
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
@@ -103,7 +104,7 @@
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeDeadlineExceeded, knapweedpulley.NotRun,
 				"model %s was not loaded in time", r.Weights.Model)
 		}
-		eta, possible := p.requestLoad(t, r)
+		eta, possible := p.requestLoad(t, r, math.MaxInt64)
 		if possible && eta > left {
 			p.extendLoad(t, r, eta)
 			return knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
@@ -133,7 +134,14 @@
 	if load < scaleOutLoad || float64(load) < scaleOutLoadRatio*p.meanLoad(r.Service) {
 		return
 	}
-	p.requestLoad(loadTarget{service: r.Service, weights: r.Weights}, r)
+	p.requestLoad(loadTarget{service: r.Service, weights: r.Weights}, r, math.MaxInt64)
+}
+
+// LoadWithin requests a load on one more endpoint if that is expected to take less than a time, after
+// which one of those that hold the weights takes requests. It returns the expected time, and false if no
+// endpoint can load the weights in that time.
+func (p *Placer) LoadWithin(r LoadRequest, d time.Duration) (time.Duration, bool) {
+	return p.requestLoad(loadTarget{service: r.Service, weights: r.Weights}, r, d)
 }
 
 // meanLoad returns the mean number of requests at the endpoints of a service.
@@ -148,8 +156,8 @@
 
 // requestLoad requests a target from the keeper of the best endpoint, unless a load is already
 // pending. It returns the estimated time until the target is loaded, and false if no endpoint can
-// load it.
-func (p *Placer) requestLoad(t loadTarget, r LoadRequest) (time.Duration, bool) {
+// load it in less than a time.
+func (p *Placer) requestLoad(t loadTarget, r LoadRequest, within time.Duration) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if last, pending := p.pendingLoads[t]; pending {
@@ -157,12 +165,12 @@
 			if p.clock.Now().Sub(last.sentAt) > requestRepeatPeriod {
 				p.sendRequest(last, t, r)
 			}
-			return eta, true
+			return eta, eta < within
 		}
 		delete(p.pendingLoads, t)
 	}
 	e, eta, tier, found := p.chooseEndpoint(t)
-	if !found {
+	if !found || eta >= within {
 		return 0, false
 	}
 	if tier == knapweedpulley.TierRemote && (p.countRemoteLoads(t.service) >= p.remoteLoadLimit(t.service) || !p.loadLimiter.allow(t.service)) {
@@ -283,6 +291,7 @@
 	var bestTime time.Duration
 	var bestTier knapweedpulley.CacheTier
 	var bestRank uint64
+	now := p.clock.Now()
 	for _, e := range p.fleet.Service(t.service) {
 		if e.Avoided() || knapweedpulley.Holds(e.Models(), t.weights) {
 			continue
@@ -292,6 +301,8 @@
 			continue
 		}
 		d += time.Duration(e.Load()) * loadPenalty
+		// A cold endpoint bears few requests although it has the weights.
+		d = max(d, e.WarmAt(now).Sub(now))
 		rank := fleet.Rank(string(t.weights.Model)+"/"+string(t.weights.Adapter), e.ID())
 		if best == nil || d < bestTime || (d == bestTime && rank > bestRank) {
 			best, bestTime, bestTier, bestRank = e, d, tier, rank
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -289,6 +290,38 @@
 	})
 }
 
+// Guards against loads that are of no use, as a holder takes requests before they end.
+func TestLoadWithin(t *testing.T) {
+	request := placement.LoadRequest{
+		Service: "llm", Weights: knapweedpulley.Resident{Model: "m"}, Deadline: math.MaxInt64,
+	}
+	inBubble("a load that takes longer is not requested", t, func(f *fixture) {
+		is := is.New(f.t)
+		_, sooner := f.placer.LoadWithin(request, 3*time.Second)
+		is.True(!sooner)
+		time.Sleep(time.Second)
+		is.Equal(f.keepers["a"].requestCount()+f.keepers["b"].requestCount(), 0)
+	})
+	inBubble("a shorter load is requested, and not at an endpoint that is cold for longer", t, func(f *fixture) {
+		is := is.New(f.t)
+		for _, k := range f.keepers {
+			k.setReport(func(r *knapweedpulley.EngineReport) { r.Cached = cachedOnDisk("m") })
+		}
+		f.fleet.ConfigureWarmUp(map[knapweedpulley.ServiceID]knapweedpulley.WarmUpLimit{"llm": {Duration: time.Minute, RequestsPerSecond: 1}})
+		f.fleet.Update([]knapweedpulley.RegisteredEndpoint{
+			{ID: "a", Service: "llm", Address: "10.0.0.1:1", Start: 1},
+			{ID: "b", Service: "llm", Address: "10.0.0.2:1", Start: 1, ColdFor: time.Minute},
+		})
+		time.Sleep(time.Second)
+		eta, sooner := f.placer.LoadWithin(request, 3*time.Second)
+		is.True(sooner)
+		is.True(eta < 3*time.Second)
+		time.Sleep(time.Second)
+		is.True(f.keepers["a"].requestCount() > 0)
+		is.Equal(f.keepers["b"].requestCount(), 0)
+	})
+}
+
 // loadAtKeeper makes the keeper of a report that it loads m from the weight store, which takes
 // d, and that b has no room.
 func (f *fixture) loadAtKeeper(d time.Duration) {
--- a/placement/visit_test.go
+++ b/placement/visit_test.go
@@ -165,7 +165,7 @@
 		is := is.New(f.t)
 		id := f.unconnectedKeeper()
 		f.register(id, func(r *knapweedpulley.RegisteredEndpoint) { r.Models = loadedModels("m") })
-		request := f.fleet.Endpoints()[id].BeginRequest(100)
+		request, _ := f.fleet.Endpoints()[id].BeginRequest(100)
 		time.Sleep(20 * time.Second)
 		is.True(f.keepers[id].connected())
 		request.End(fleet.Answered)
