Check the limit of cold endpoints in the soak

The service cold has one endpoint, which states coldLeftMs after each start. The draws of the other scenarios are as they were.

--- a/faults/soak/caller.go
+++ b/faults/soak/caller.go
@@ -37,6 +37,8 @@
 	Once   Kind = "once"
 	// Late is the route to an endpoint that starts while the list of endpoints has an odd entry.
 	Late Kind = "late"
+	// Cold is the route to an endpoint that is cold after its start.
+	Cold Kind = "cold"
 	// Long is the route of requests with long bodies, which run at most once.
 	Long Kind = "long"
 )
--- a/faults/soak/cluster.go
+++ b/faults/soak/cluster.go
@@ -65,6 +65,8 @@
 	spare *Backend
 	// late is the only endpoint of the service late. It runs only beside an odd entry in the store.
 	late *Backend
+	// cold is the only endpoint of the service cold, and is cold after each start.
+	cold *Backend
 
 	mu      sync.Mutex
 	version uint64
@@ -130,6 +132,9 @@
 	if err := c.late.Crash(); err != nil {
 		return err
 	}
+	if c.cold, err = c.startPlainService("cold", plainServiceCount+3); err != nil {
+		return err
+	}
 	for i := range gatewayCount {
 		if err := c.addGateway(i + 1); err != nil {
 			return err
@@ -290,7 +295,7 @@
 	long["timeoutMs"] = longRouteTimeout.Milliseconds()
 	late := route(string(Late), "safe", "late", false)
 	late["public"] = true
-	routes = append(routes, long, late)
+	routes = append(routes, long, late, route(string(Cold), "safe", "cold", false))
 	for i := range c.version % 7 {
 		routes = append(routes, route(fmt.Sprintf("extra-%d", i), "safe", "plain", false))
 	}
@@ -312,6 +317,7 @@
 			{"name": "plain", "maxConns": 100},
 			{"name": "spare", "maxConns": 100},
 			{"name": "late", "maxConns": 100},
+			{"name": "cold", "maxConns": 100, "coldStartS": coldTime.Seconds(), "coldPerS": coldPerSecond},
 			{"name": "llm", "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "kvCapacity": 100000, "weightsMb": modelsPerEngine*modelSizeMB + 1, "adapterSlots": adapterSlots, "loadsPerS": 10,
 				"models": models,
@@ -413,7 +419,7 @@
 		g.Kill()
 		g.storeProxy.Close()
 	}
-	for _, s := range append(c.endpoints(), c.late) {
+	for _, s := range append(c.endpoints(), c.late, c.cold) {
 		if s == nil {
 			continue
 		}
--- a/faults/soak/doc.go
+++ b/faults/soak/doc.go
@@ -20,6 +20,9 @@
 // [StopGateway] stops a gateway of a cluster without other faults, and checks that no request is cut
 // that its callers send late.
 //
+// [StartCold] restarts an endpoint that is cold after its start while callers send it more requests than it
+// bears, pauses and kills gateways meanwhile, and checks what reaches the endpoint in any second.
+//
 // # Usage
 //
 //	go test ./faults/soak                                        # seed 1 and the regression seeds, short runs
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -158,6 +158,10 @@
 	drainingSince time.Time
 	running       bool
 	closed        bool
+	// coldTime is how long the endpoint is cold after its start. coldArrivals are the arrivals of the
+	// requests that it has admitted while it was cold.
+	coldTime     time.Duration
+	coldArrivals []time.Time
 	// disturbedAt is when the endpoint last started or crashed.
 	disturbedAt time.Time
 	// faultEnds holds when each fault ends, faultSeeds the seed of its random choices.
@@ -305,7 +309,7 @@
 	}
 	return e.store.Put(knapweedpulley.KindEndpoints, e.id, map[string]any{
 		"service": e.service, "address": e.publicAddress, "zone": "a", "slots": 8, "state": state, "born": e.startedAtMs,
-		"models": e.modelEntries(), "seq": e.sequence,
+		"models": e.modelEntries(), "seq": e.sequence, "coldLeftMs": e.coldLeft().Milliseconds(),
 	})
 }
 
@@ -378,6 +382,7 @@
 	if !runs {
 		return
 	}
+	e.recordColdRequest()
 	if !early && e.refusesOddly(w, r) {
 		return
 	}
--- a/faults/soak/soak_test.go
+++ b/faults/soak/soak_test.go
@@ -207,6 +207,29 @@
 	})
 }
 
+// Guards against gateways that together send a cold endpoint more requests than it bears, also while one of
+// them is paused or restarts.
+func TestColdEndpointGetsNoMoreThanItBears(t *testing.T) {
+	t.Parallel()
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		statuses, cold := make(map[int]int), 0
+		outcomes := runAlone(t, "cold", seed, func(c *soak.Cluster, random *rand.Rand) ([]soak.Outcome, error) {
+			time.Sleep(recoveryPause / 2)
+			outcomes, err := soak.StartCold(c, random)
+			cold = c.ColdRequests()
+			return outcomes, err
+		})
+		for _, o := range outcomes {
+			statuses[o.Status]++
+		}
+		t.Logf("seed %d: %d requests, statuses %v, %d while the endpoint was cold", seed, len(outcomes), statuses, cold)
+		is := is.New(t)
+		is.True(cold > 0)
+		is.True(statuses[http.StatusOK] > cold)
+		is.True(statuses[http.StatusServiceUnavailable] > 0)
+	})
+}
+
 func TestClusterLeavesNetworkToOtherPrograms(t *testing.T) {
 	t.Parallel()
 	const seed = 1
