--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -49,6 +49,16 @@
 	m.scope.Tagged(map[string]string{"zone": string(zone)}).Gauge("evacuated_requests").Update(float64(n))
 }
 
+// recordColdHold counts a call all of whose endpoints are cold without a share left for it. It waits
+// if it can be answered in time, and is refused otherwise.
+func (m *Meter) recordColdHold(waits bool) {
+	action := "refused"
+	if waits {
+		action = "waits"
+	}
+	m.scope.Tagged(map[string]string{"action": action}).Counter("cold_holds").Inc(1)
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
@@ -68,6 +78,9 @@
 	if h.sends > 1 {
 		scope.Counter("repeats").Inc(int64(h.sends - 1))
 	}
+	if h.coldSends > 0 {
+		scope.Counter("cold_sends").Inc(int64(h.coldSends))
+	}
 	if h.stalls > 0 {
 		scope.Counter("stalls").Inc(int64(h.stalls))
 	}
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -70,7 +70,7 @@
 		until := p.clock.Now().Add(requestLifetime)
 		p.requestLoad(r.loadTarget, LoadRequest{
 			Service: r.service, Weights: r.weights, Priority: r.priority, TargetTime: until, Deadline: until,
-		})
+		}, math.MaxInt64)
 	}
 }
 
