--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -300,7 +300,8 @@
 			r.Report()
 			return strings.Count(logs.String(), "has no requests of this gateway any more")
 		}
-		request := f.Endpoints()["1"].BeginRequest(1)
+		request, begun := f.Endpoints()["1"].BeginRequest(1)
+	is.True(begun)
 		is.Equal(lines(), 0)
 		evacuate(f, "1")
 		is.Equal(lines(), 0)
