Decide the order of requests for a scarce rate

A customer that asks for more than its rate has requests with a long objective refused in favour of short ones that arrive earlier. Package ratequeue orders the requests of one customer at one holder of its contract. Nothing uses it yet.

--- /dev/null
+++ b/ratequeue/queue.go
@@ -0,0 +1,381 @@
+package ratequeue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/knapweedpulley/knapweedpulley"
+)
+
+const (
+	// maxWaiting bounds the requests that wait in a queue. It is more than a rate of 18,800 tokens a second
+	// grants within the longest objective.
+	maxWaiting = 1024
+	// maxRoutes bounds the routes that are told apart.
+	maxRoutes = 64
+	// maxPlaces bounds the places that a queue keeps.
+	maxPlaces = 64
+	// placeTerm is how long a place is kept after its caller was told to return.
+	placeTerm = time.Second
+	// maxReturnTime is the longest time after which a caller is told to return to a kept place. Callers accept
+	// a third of the time that they have left.
+	maxReturnTime = 4 * time.Second
+	// placeShare is the part of a route's share that kept places may use, so that newcomers are served
+	// in time.
+	placeShare = 0.5
+	// returnFraction is the part of the time that a route's requests can wait that a returning caller spends
+	// waiting in the queue.
+	returnFraction = 0.8
+	// minReturnTime is the least time after which a caller is told to return.
+	minReturnTime = 50 * time.Millisecond
+	// recheckTime is the longest time between two checks of whose turn it is, which changes as
+	// tokens accrue.
+	recheckTime = 50 * time.Millisecond
+	// maxEstimate bounds the times that are told, for a contract whose rate is close to zero.
+	maxEstimate = time.Hour
+)
+
+// Request is a request for tokens.
+type Request struct {
+	Route knapweedpulley.RouteID
+	// Priority ranks the route; zero is the most urgent.
+	Priority    int
+	Tokens      knapweedpulley.Tokens
+	LatestStart knapweedpulley.Instant
+	// Fingerprint identifies a caller who returns.
+	Fingerprint knapweedpulley.Fingerprint
+}
+
+// Supply is the tokens that the holder has. The methods of Queue deduct what they grant from Level, and
+// add what is no longer set aside.
+type Supply struct {
+	// Level is negative while the part doesn't accrue yet or is in debt.
+	Level float64
+	Rate  float64
+	Burst float64
+}
+
+// Ticket names a request in the queue. Zero names none.
+type Ticket uint64
+
+// Outcome tells how a request ended.
+type Outcome struct {
+	Ticket  Ticket
+	Granted bool
+	// RetryAfter is when a refused request may return. Kept is set if a place is kept for it.
+	RetryAfter time.Duration
+	Kept       bool
+}
+
+// Queue is the queue of one customer at one holder. It isn't safe for concurrent use.
+type Queue struct {
+	routes []*route
+	// byTicket holds the entries with a caller, kept those without.
+	byTicket map[Ticket]*entry
+	kept     map[knapweedpulley.Fingerprint]*entry
+	outcomes []Outcome
+	last     Ticket
+	updated  knapweedpulley.Instant
+	// earliest is not later than the end of any entry.
+	earliest knapweedpulley.Instant
+	// weight and demand are the sums over all routes.
+	weight float64
+	demand float64
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{byTicket: make(map[Ticket]*entry), kept: make(map[knapweedpulley.Fingerprint]*entry)}
+}
+
+// Waiting returns the number of requests that wait, and of the places that are kept.
+func (q *Queue) Waiting() (requests, places int) {
+	return len(q.byTicket), len(q.kept)
+}
+
+// Outcomes returns what was decided since the last call. The slice is valid until the next decision.
+func (q *Queue) Outcomes() []Outcome {
+	list := q.outcomes
+	q.outcomes = q.outcomes[:0]
+	return list
+}
+
+// Probe grants a request if it is its turn and its tokens are there, and otherwise returns the time that it
+// would wait. It takes no place.
+func (q *Queue) Probe(now knapweedpulley.Instant, s *Supply, r Request) (bool, time.Duration) {
+	q.Advance(now, s)
+	if e, returns := q.kept[r.Fingerprint]; returns && e.tokens == float64(r.Tokens) {
+		if e.setAside {
+			delete(q.kept, r.Fingerprint)
+			return true, 0
+		}
+		return false, max(0, e.key.Sub(now))
+	}
+	route := q.routeOf(now, s, r)
+	e := &entry{route: route, tokens: float64(r.Tokens), key: now.Add(route.patience)}
+	q.last++
+	e.ticket = q.last
+	route.insert(e)
+	q.byTicket[e.ticket] = e
+	q.dispatch(s)
+	if _, waiting := q.byTicket[e.ticket]; !waiting {
+		q.dropOutcome(e.ticket)
+		route.record(now, e.tokens, route.patience)
+		return true, 0
+	}
+	i := slices.Index(route.entries, e)
+	wait := q.estimate(route, s, route.tokensBefore(i), e.tokens)
+	route.remove(e)
+	delete(q.byTicket, e.ticket)
+	return false, wait
+}
+
+// dropOutcome removes the outcome of a request that is answered in another way.
+func (q *Queue) dropOutcome(t Ticket) {
+	q.outcomes = slices.DeleteFunc(q.outcomes, func(o Outcome) bool { return o.Ticket == t })
+}
+
+// Enter adds a request. Its outcome is among the next ones if it is known already.
+func (q *Queue) Enter(now knapweedpulley.Instant, s *Supply, r Request) Ticket {
+	q.Advance(now, s)
+	q.last++
+	ticket := q.last
+	if e, returns := q.kept[r.Fingerprint]; returns && e.tokens == float64(r.Tokens) {
+		q.returnToPlace(now, e, ticket, r.LatestStart)
+		return ticket
+	}
+	route := q.routeOf(now, s, r)
+	route.record(now, float64(r.Tokens), max(1, r.LatestStart.Sub(now)))
+	q.advance(now, s)
+	e := &entry{
+		ticket: ticket, route: route, tokens: float64(r.Tokens), fingerprint: r.Fingerprint,
+		key: r.LatestStart, until: r.LatestStart,
+	}
+	if len(q.byTicket) >= maxWaiting {
+		q.outcomes = append(q.outcomes, Outcome{Ticket: ticket, RetryAfter: q.estimate(
+			route, s, route.tokensBefore(len(route.entries)), e.tokens)})
+		return ticket
+	}
+	i := route.insert(e)
+	q.byTicket[ticket] = e
+	if !q.admissible(now, s, e, i) {
+		// It may still be its turn, if its tokens are there.
+		q.dispatch(s)
+		if _, waiting := q.byTicket[ticket]; waiting {
+			q.refuse(now, s, e)
+		}
+		return ticket
+	}
+	q.limitEarliest(e.until)
+	q.dispatch(s)
+	return ticket
+}
+
+// returnToPlace lets a caller take its place again. It is told to wait on if it has come too early.
+func (q *Queue) returnToPlace(now knapweedpulley.Instant, e *entry, ticket Ticket, latestStart knapweedpulley.Instant) {
+	switch {
+	case e.setAside:
+		delete(q.kept, e.fingerprint)
+		q.outcomes = append(q.outcomes, Outcome{Ticket: ticket, Granted: true})
+	case e.key.After(latestStart):
+		wait := max(minReturnTime, e.key.Sub(latestStart))
+		e.until = max(e.until, now.Add(wait+placeTerm))
+		q.outcomes = append(q.outcomes, Outcome{Ticket: ticket, RetryAfter: wait, Kept: true})
+	default:
+		delete(q.kept, e.fingerprint)
+		e.route.placeTokens = max(0, e.route.placeTokens-e.tokens)
+		e.ticket, e.until = ticket, latestStart
+		q.byTicket[ticket] = e
+		q.limitEarliest(e.until)
+	}
+}
+
+// Leave removes a request whose caller has left.
+func (q *Queue) Leave(t Ticket) {
+	if e, waiting := q.byTicket[t]; waiting {
+		e.route.remove(e)
+		delete(q.byTicket, t)
+	}
+}
+
+// Advance grants the requests whose turn it is and refuses those whose latest start has passed.
+func (q *Queue) Advance(now knapweedpulley.Instant, s *Supply) {
+	q.advance(now, s)
+	if q.earliest != 0 && now.After(q.earliest) {
+		q.releasePlaces(now, s)
+		q.dispatch(s)
+		q.expire(now, s)
+	}
+	q.dispatch(s)
+}
+
+// Next returns when Advance has to be called again, and false if nothing waits.
+func (q *Queue) Next(now knapweedpulley.Instant, s *Supply) (knapweedpulley.Instant, bool) {
+	if len(q.byTicket) == 0 && len(q.kept) == 0 {
+		return 0, false
+	}
+	next := now.Add(maxReturnTime)
+	if q.earliest != 0 {
+		next = q.earliest.Add(1)
+	}
+	if e := q.head(); e != nil && s.Rate > 0 {
+		wait := durationOf((q.need(e, s) - s.Level) / s.Rate)
+		next = min(next, now.Add(min(wait+1, recheckTime)))
+	}
+	return max(next, now.Add(time.Millisecond)), true
+}
+
+// NextRoute returns the route whose turn it is, and false if nothing waits.
+func (q *Queue) NextRoute() (knapweedpulley.RouteID, bool) {
+	if e := q.head(); e != nil {
+		return e.route.id, true
+	}
+	return "", false
+}
+
+// head returns the entry whose turn it is. Routes that have not used their share go first, in the order of
+// their requests' latest starts, then the route that is least ahead of its share.
+func (q *Queue) head() *entry {
+	var first, owed *entry
+	most := 0.0
+	for _, r := range q.routes {
+		if len(r.entries) == 0 {
+			continue
+		}
+		e := r.entries[0]
+		if r.credit > 0 && (first == nil || first.key.After(e.key)) {
+			first = e
+		}
+		if relative := r.credit / r.weight; owed == nil || relative > most {
+			owed, most = e, relative
+		}
+	}
+	if first != nil {
+		return first
+	}
+	return owed
+}
+
+// need returns the level at which a request is granted. One that is larger than the burst is granted when the
+// part is full.
+func (q *Queue) need(e *entry, s *Supply) float64 {
+	return min(s.Burst, e.tokens+q.reserve(e.route, s))
+}
+
+// dispatch grants requests as long as the tokens last.
+func (q *Queue) dispatch(s *Supply) {
+	for e := q.head(); e != nil && s.Level >= q.need(e, s); e = q.head() {
+		e.route.remove(e)
+		e.route.credit -= e.tokens
+		s.Level -= e.tokens
+		if e.ticket == 0 {
+			e.setAside = true
+			continue
+		}
+		delete(q.byTicket, e.ticket)
+		q.outcomes = append(q.outcomes, Outcome{Ticket: e.ticket, Granted: true})
+	}
+}
+
+// estimate returns the time after which a request is granted that has the given number of the route's tokens
+// ahead of it: when its route has paid for those, and its own tokens have accrued.
+func (q *Queue) estimate(r *route, s *Supply, before, tokens float64) time.Duration {
+	paid := (before - r.credit) / q.share(r, s)
+	accrued := maxEstimate.Seconds()
+	if s.Rate > 0 {
+		accrued = (before + min(s.Burst, tokens+q.reserve(r, s)) - s.Level) / s.Rate
+	}
+	return durationOf(max(paid, accrued))
+}
+
+// durationOf converts seconds to a duration between zero and maxEstimate.
+func durationOf(seconds float64) time.Duration {
+	return time.Duration(max(0, min(seconds, maxEstimate.Seconds())) * float64(time.Second))
+}
+
+// admissible reports whether a request at position i of its route will be granted in time, and those behind it
+// as well. It assumes the size of the route's largest request, so that small requests don't fill the
+// room that large ones wait for.
+func (q *Queue) admissible(now knapweedpulley.Instant, s *Supply, e *entry, i int) bool {
+	r := e.route
+	before := r.tokensBefore(i)
+	if now.Add(q.estimate(r, s, before, r.largest)).After(e.until) {
+		return false
+	}
+	share := q.share(r, s)
+	before += r.largest
+	for _, later := range r.entries[i+1:] {
+		if now.Add(durationOf((before - r.credit) / share)).After(later.key) {
+			return false
+		}
+		before += later.tokens
+	}
+	return true
+}
+
+// refuse ends a request that can't be granted in time, and keeps a place for its caller if that will be due soon
+// enough.
+func (q *Queue) refuse(now knapweedpulley.Instant, s *Supply, e *entry) {
+	r := e.route
+	r.remove(e)
+	delete(q.byTicket, e.ticket)
+	due := max(
+		q.estimate(r, s, r.tokensBefore(len(r.entries)), e.tokens),
+		durationOf((r.placeTokens+e.tokens-max(0, r.credit))/(placeShare*q.share(r, s))),
+	)
+	wait := max(minReturnTime, due-time.Duration(returnFraction*float64(r.patience)))
+	o := Outcome{Ticket: e.ticket, RetryAfter: wait}
+	if _, taken := q.kept[e.fingerprint]; !taken && len(q.kept) < maxPlaces && wait <= maxReturnTime {
+		o.Kept = true
+		place := &entry{
+			route: r, tokens: e.tokens, fingerprint: e.fingerprint, key: now.Add(due), until: now.Add(wait + placeTerm),
+		}
+		r.insert(place)
+		q.kept[e.fingerprint] = place
+		q.limitEarliest(place.until)
+	}
+	q.outcomes = append(q.outcomes, o)
+}
+
+func (q *Queue) limitEarliest(until knapweedpulley.Instant) {
+	if q.earliest == 0 || q.earliest.After(until) {
+		q.earliest = until
+	}
+}
+
+// releasePlaces removes the places whose callers didn't return, and puts their tokens back.
+func (q *Queue) releasePlaces(now knapweedpulley.Instant, s *Supply) {
+	for f, e := range q.kept {
+		if !now.After(e.until) {
+			continue
+		}
+		delete(q.kept, f)
+		if !e.setAside {
+			e.route.remove(e)
+			continue
+		}
+		put := max(0, min(e.tokens, s.Burst-s.Level))
+		s.Level += put
+		e.route.credit += put
+	}
+}
+
+// expire refuses the requests whose latest start has passed.
+func (q *Queue) expire(now knapweedpulley.Instant, s *Supply) {
+	q.earliest = 0
+	var late []*entry
+	for _, e := range q.byTicket {
+		if now.After(e.until) {
+			late = append(late, e)
+		} else {
+			q.limitEarliest(e.until)
+		}
+	}
+	slices.SortFunc(late, func(a, b *entry) int { return int(a.ticket) - int(b.ticket) })
+	for _, e := range q.kept {
+		q.limitEarliest(e.until)
+	}
+	for _, e := range late {
+		q.refuse(now, s, e)
+	}
+}
