Queue for a customer's tokens at the holders of its contract

With the platform's contract "pressure" a call waits for its tokens in the queue of a holder for as long as its objective allows. Without it the rate limiter charges as before.

The tests of gateways that are cut off run with queues too.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -61,6 +61,8 @@
 	// the other gateways. suspectSyncTimeout bounds one.
 	suspectSyncPeriod  = 250 * time.Millisecond
 	suspectSyncTimeout = time.Second
+	// queueLogPeriod is the time between two log lines for each scarce rate.
+	queueLogPeriod = 10 * time.Second
 )
 
 // process is a running gateway.
@@ -185,6 +187,10 @@
 	p.peers = gateway.NewPeers(self)
 	p.allowances = contract.NewAllowances(clock, self.Entry, p.settings.Gateways)
 	p.allowances.Bind(p.term)
+	if platform.QueuesScarceRates(p.settings.Contracts) {
+		p.allowances.EnableQueues()
+		p.cleanups.Add(machine.Every(queueLogPeriod, p.logQueues))
+	}
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
 }
 
@@ -200,7 +206,11 @@
 	}
 	contracts := make([]knapweedpulley.Contract, 0, len(s.Accounts))
 	for _, a := range s.Accounts {
-		contracts = append(contracts, a.Contract)
+		c := a.Contract
+		if a.CountsTokens && platform.QueuesScarceRates(p.settings.Contracts) {
+			c.Slack = contract.QueueSlack
+		}
+		contracts = append(contracts, c)
 	}
 	p.allowances.Configure(contracts)
 	p.placer.Configure(s.Services)
@@ -244,6 +254,16 @@
 	p.placer.SetGatewayCount(n)
 }
 
+// logQueues logs the queues of the customers whose rates are scarce.
+func (p *process) logQueues() {
+	for _, s := range p.allowances.QueueStats() {
+		p.log.WithFields(log.Fields{
+			"customer": s.Customer, "waiting": s.Waiting, "places": s.Places, "next": s.Next, "granted": s.Granted,
+			"refused": s.Refused, "returning": s.Returning, "longestReturnMs": s.LongestReturn.Milliseconds(),
+		}).Info("requests queue for a customer's rate")
+	}
+}
+
 // logTerm logs when the gateway's parts of the rates have lapsed, and when it holds them again.
 func (p *process) logTerm(gateways int) {
 	held := p.term.Held()
--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -36,6 +36,8 @@
 	RemoteLoads int `json:"remoteLoads"`
 	// MemoryMB is the memory that the process may use, in millions of bytes.
 	MemoryMB int64  `json:"memoryMb"`
+	// Contracts lists the rules of the platform that the gateway has to keep beside the usual ones.
+	Contracts []string `json:"contracts"`
 	LogLevel string `json:"logLevel"`
 }
 
--- a/cmd/gateway/settings_test.go
+++ b/cmd/gateway/settings_test.go
@@ -20,6 +20,7 @@
 		"{{listen.front|json}}", `"10.0.0.1:8221"`, "{{listen.ready|json}}", `"10.0.0.1:8224"`,
 		"{{portRange.0|json}}", "7600", "{{portRange.0}}", "7600", "{{platform.address|json}}", `"10.0.9.9:8225"`,
 		"{{bounds.graceS}}", "8", "{{bounds.budgetSlack|json}}", "54", "{{limits.memoryMb|json}}", "284",
+		"{{contracts|json}}", `["pressure"]`,
 	).Replace(string(text))
 }
 
@@ -38,6 +39,7 @@
 		is.NoErr(err)
 		is.Equal(s.KeeperPort, 7600)
 		is.Equal(s.Links, "10.0.0.1:7600")
+		is.Equal(s.Contracts, []string{"pressure"})
 	})
 	t.Run("an invalid setting is reported with its value and the allowed values", func(t *testing.T) {
 		assertFault(t, strings.Replace(valid, `"8s"`, `"1s"`, 1), `grace: "1s" must be at least`)
--- a/contract/allowance.go
+++ b/contract/allowance.go
@@ -51,6 +51,8 @@
 	permission knapweedpulley.Permission
 	lapsed     bool
 	parts      map[knapweedpulley.CustomerID]*allowance
+	// queues is set if calls queue for the tokens of a contract.
+	queues bool
 }
 
 // allowance is a gateway's part of one contract.
@@ -69,6 +71,8 @@
 	// lapsed is set while the gateway uses only reserve instead of its part.
 	lapsed  bool
 	reserve bucket
+	// line is where calls wait for the part's tokens. It is nil until the first of them.
+	line *line
 }
 
 // NewAllowances returns the allowances of a gateway, without contracts. Until Assign is called,
@@ -103,8 +107,9 @@
 		part.contract = c
 		a.resize(part)
 	}
-	for id := range a.parts {
+	for id, part := range a.parts {
 		if !kept.Has(id) {
+			part.clearLine()
 			delete(a.parts, id)
 		}
 	}
@@ -175,6 +180,11 @@
 // resize sets the rate and burst of a part by its contract and the gateways.
 func (a *Allowances) resize(part *allowance) {
 	now := a.clock.Now()
+	defer func() {
+		if !a.serves(part) {
+			part.clearLine()
+		}
+	}()
 	a.advance(part, now)
 	if part.lapsed && !a.lapsed {
 		part.reserve.advance(now)
@@ -200,8 +210,8 @@
 		part.divide(now, a.assumed)
 		return
 	}
-	holders := Holders(part.contract, a.members)
-	if len(holders) == len(a.members) {
+	holders := a.holdersOf(part.contract)
+	if len(holders) == len(a.members) && !a.queues {
 		part.holders, part.holding, part.accruesFrom = nil, true, 0
 		part.divide(now, len(holders))
 		return
@@ -242,7 +252,7 @@
 func (p *allowance) divide(now knapweedpulley.Instant, holders int) {
 	p.holderCount = holders
 	n := float64(holders)
-	p.bucket.resize(now, float64(p.contract.Rate)/n, float64(p.contract.Burst)/n, 0)
+	p.bucket.resize(now, float64(p.contract.Rate)/n, float64(p.contract.Burst+p.contract.Slack)/n, 0)
 }
 
 // advance brings a part up to date: it lets it accrue once that may begin, and drops expired
@@ -295,7 +305,7 @@
 	if part.borrowsAll() {
 		need = float64(n)
 	}
-	if part.bucket.level >= need {
+	if part.bucket.level >= need && !part.busy() {
 		part.bucket.deduct(now, float64(n))
 		return TakeResult{Taken: true}
 	}
@@ -306,7 +316,7 @@
 		// The time in which a holder accrues the tokens.
 		result.Wait = time.Duration(need * float64(part.holderCount) / float64(part.contract.Rate) * float64(time.Second))
 	}
-	if possible && waitTime <= maxWait {
+	if possible && waitTime <= maxWait && !part.busy() {
 		part.bucket.deduct(now, float64(n))
 		result.Taken = true
 	}
@@ -340,6 +350,7 @@
 		part.bucket.level = min(part.bucket.burst, part.bucket.level)
 	}
 	part.creditUntil = now.Add(creditTime)
+	a.serveLine(part, now)
 }
 
 // Lend implements knapweedpulley.AllowanceLender. If all gateways hold parts, it keeps some tokens
@@ -358,7 +369,7 @@
 	now := a.clock.Now()
 	a.advance(part, now)
 	if part.holders != nil {
-		if !part.holding || part.bucket.level < min(float64(n), part.bucket.burst) {
+		if !part.holding || part.busy() || part.bucket.level < min(float64(n), part.bucket.burst) {
 			return 0
 		}
 		part.bucket.deduct(now, float64(n))
--- a/contract/holders.go
+++ b/contract/holders.go
@@ -26,15 +26,25 @@
 // a part, and the others borrow what each request needs. Gateways that know the same members agree
 // on the holders by rendezvous hashing.
 func Holders(c knapweedpulley.Contract, members []knapweedpulley.Member) []knapweedpulley.Member {
-	n := max(minHolders, int(c.Burst/minPart))
+	return ranked(c, members, max(minHolders, int(c.Burst/minPart)))
+}
+
+// QueueHolders returns the gateways that hold the parts of a contract whose calls queue for its tokens. They
+// are as few as possible, because each queue orders only the calls that ask it.
+func QueueHolders(c knapweedpulley.Contract, members []knapweedpulley.Member) []knapweedpulley.Member {
+	return ranked(c, members, minHolders)
+}
+
+// ranked returns the first n members by rendezvous hashing, or all if there are no more.
+func ranked(c knapweedpulley.Contract, members []knapweedpulley.Member, n int) []knapweedpulley.Member {
 	if n >= len(members) {
 		return members
 	}
 	rank := func(m knapweedpulley.Member) uint64 {
 		return xxhash.Sum64String(string(c.Customer) + "\x00" + string(m.Entry))
 	}
-	ranked := slices.SortedFunc(slices.Values(members), func(a, b knapweedpulley.Member) int {
+	list := slices.SortedFunc(slices.Values(members), func(a, b knapweedpulley.Member) int {
 		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.Entry, b.Entry))
 	})
-	return ranked[:n]
+	return list[:n]
 }
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -35,8 +35,10 @@
 	writer    knapweedpulley.AnswerWriter
 	admission installation.Admission
 	charge    charge
-	deadline  knapweedpulley.Instant
-	avoid     knapweedpulley.Set[knapweedpulley.EndpointID]
+	// queueVisit tells how the call last got its tokens in a queue, or why not.
+	queueVisit queueVisit
+	deadline   knapweedpulley.Instant
+	avoid      knapweedpulley.Set[knapweedpulley.EndpointID]
 	// possibleRuns counts the attempts in which the call may have run, refusals the attempts
 	// that failed before the call ran.
 	possibleRuns int
--- a/gateway/charge.go
+++ b/gateway/charge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/installation"
@@ -26,13 +27,34 @@
 		return nil
 	}
 	tokens := h.price(a.Account)
-	if err := h.RateLimiter.Charge(ctx, a.Account.Customer, tokens, a.Route.LatencyTarget/rateWaitDivisor); err != nil {
+	if err := h.takeTokens(ctx, a, tokens); err != nil {
 		return err
 	}
 	h.charge = charge{customer: a.Customer(), tokens: tokens, earlierRuns: h.possibleRuns}
 	return nil
 }
 
+// takeTokens takes the tokens for the call from its customer's contract.
+func (h *callHandler) takeTokens(ctx context.Context, a *installation.Admission, tokens knapweedpulley.Tokens) error {
+	visit, err := h.RateLimiter.Acquire(ctx, knapweedpulley.Reservation{
+		Customer: a.Account.Customer, Tokens: tokens, Route: a.Route.ID, Priority: a.Priority,
+		MaxWait: h.tokenWait(&a.Route), Fingerprint: h.call.Fingerprint,
+	}, a.Route.LatencyTarget/rateWaitDivisor)
+	if visit.outcome != "" {
+		h.queueVisit = visit
+		h.Meter.recordQueueVisit(visit)
+	}
+	return err
+}
+
+// tokenWait returns how long the call can wait for its tokens: what is left of its objective without the time
+// for the first answer, and no longer than until its deadline.
+func (h *callHandler) tokenWait(r *knapweedpulley.Route) time.Duration {
+	now := h.Clock.Now()
+	wait := max(r.LatencyTarget/rateWaitDivisor, r.LatencyTarget-firstEventReserve)
+	return max(0, min(h.call.Arrived.Add(wait), h.deadline.Add(-minSendTime)).Sub(now))
+}
+
 // price returns the number of tokens that the call costs an account. A contract that doesn't count
 // tokens is charged one per call.
 func (h *callHandler) price(a *knapweedpulley.Account) knapweedpulley.Tokens {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,10 @@
 		"tookMs":     h.Clock.Now().Sub(h.call.Arrived).Milliseconds(),
 		"status":     h.status,
 	})
+	if h.queueVisit.outcome != "" {
+		entry = entry.WithField("queue", h.queueVisit.outcome).WithField("queuedAt", h.queueVisit.holder).
+			WithField("queuedMs", h.queueVisit.waited.Milliseconds())
+	}
 	var refusal *knapweedpulley.Refusal
 	switch {
 	case err == nil:
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -38,6 +38,14 @@
 	m.scope.Counter("holds").Inc(1)
 }
 
+// recordQueueVisit counts a call that asked for its tokens in a queue, by its outcome, and the time that it waited.
+func (m *Meter) recordQueueVisit(v queueVisit) {
+	m.scope.Tagged(map[string]string{"outcome": v.outcome}).Counter("rate_queue").Inc(1)
+	if v.waited > 0 {
+		m.scope.Histogram("rate_queue_wait", latencyBuckets()).RecordDuration(v.waited)
+	}
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
--- a/gateway/ratecut_test.go
+++ b/gateway/ratecut_test.go
@@ -68,14 +68,25 @@
 	random   *rand.Rand
 	keepers  []*cutKeeper
 	gateways []*cutGateway
+	contract knapweedpulley.Contract
+	// queues is set if calls queue for the customer's rate.
+	queues bool
 	byID     map[knapweedpulley.EntryID]*cutGateway
 	mu       sync.Mutex
 	admitted []admission
+	// fingerprint is that of the last call.
+	fingerprint knapweedpulley.Fingerprint
 }
 
-func newCutFleet(t *testing.T, size int) *cutFleet {
+func newCutFleet(t *testing.T, size int, c knapweedpulley.Contract, queues bool) *cutFleet {
 	t.Helper()
-	f := &cutFleet{t: t, random: rand.New(rand.NewPCG(1, 2)), byID: make(map[knapweedpulley.EntryID]*cutGateway)}
+	f := &cutFleet{
+		t: t, random: rand.New(rand.NewPCG(1, 2)), byID: make(map[knapweedpulley.EntryID]*cutGateway),
+		contract: c, queues: queues,
+	}
+	if queues {
+		f.contract.Slack = contract.QueueSlack
+	}
 	for range electorCount {
 		k := &cutKeeper{}
 		k.restart()
@@ -117,7 +128,10 @@
 	g.roster = fleet.NewRoster(fake.Clock{}, m.Entry, permission)
 	g.allowances = contract.NewAllowances(fake.Clock{}, m.Entry, assumedGateways)
 	g.allowances.Bind(permission)
-	g.allowances.Configure([]knapweedpulley.Contract{{Customer: testCustomer, Rate: cutRate, Burst: cutRate}})
+	if f.queues {
+		g.allowances.EnableQueues()
+	}
+	g.allowances.Configure([]knapweedpulley.Contract{f.contract})
 	g.peers = gateway.NewPeers(m)
 	g.limiter = gateway.NewRateLimiter(g.allowances, &cutLink{f, g}, g.peers, fake.Clock{},
 		logbook.New(io.Discard, log.InfoLevel, "test", "test"))
@@ -147,6 +161,25 @@
 	return to.allowances.Lend(customer, n), nil
 }
 
+// Reserve implements knapweedpulley.AllowanceLink.
+func (l *cutLink) Reserve(
+	ctx context.Context, m knapweedpulley.Member, r knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	time.Sleep(2 * time.Millisecond)
+	to := l.fleet.byID[m.Entry]
+	reached := func() bool { return !l.from.fromPeers && !to.fromPeers && !to.frozen }
+	if !reached() {
+		<-ctx.Done()
+		return knapweedpulley.ReservationResult{}, errors.New("no answer")
+	}
+	result, err := to.allowances.Reserve(ctx, r)
+	if !reached() {
+		<-ctx.Done()
+		return knapweedpulley.ReservationResult{}, errors.New("no answer")
+	}
+	return result, err
+}
+
 // step lets the gateways send notes, the keepers report, and the gateways act on the reports.
 func (f *cutFleet) step() {
 	now := fake.Clock{}.Now()
@@ -223,7 +256,7 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	before := f.sum()
-	perTick := share * cutRate * tick.Seconds() / requestTokens
+	perTick := share * float64(f.contract.Rate) * tick.Seconds() / requestTokens
 	due := 0.0
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
 		f.step()
@@ -237,18 +270,30 @@
 			synctest.Wait()
 		}
 	}
-	return float64(f.sum()-before) / (cutRate * d.Seconds())
+	return float64(f.sum()-before) / (float64(f.contract.Rate) * d.Seconds())
 }
 
 func (f *cutFleet) charge(g *cutGateway, n knapweedpulley.Tokens) {
-	if g.limiter.Charge(f.t.Context(), testCustomer, n, 200*time.Millisecond) != nil {
-		return
+	if _, err := g.limiter.Acquire(f.t.Context(), knapweedpulley.Reservation{
+		Customer: testCustomer, Tokens: n, Route: "play", MaxWait: 600 * time.Millisecond, Fingerprint: f.nextFingerprint(),
+	}, 200*time.Millisecond); err == nil {
+		f.admit(n)
 	}
+}
+
+func (f *cutFleet) admit(n knapweedpulley.Tokens) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.admitted = append(f.admitted, admission{time.Now(), n})
 }
 
+func (f *cutFleet) nextFingerprint() knapweedpulley.Fingerprint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fingerprint++
+	return f.fingerprint
+}
+
 // sum returns the tokens that were admitted so far.
 func (f *cutFleet) sum() knapweedpulley.Tokens {
 	f.mu.Lock()
@@ -263,7 +308,7 @@
 // assertWithinContract requires that in each window no more was admitted than the bounds allow.
 func (f *cutFleet) assertWithinContract() {
 	f.t.Helper()
-	limit := (cutRate*quotaWindow.Seconds()+cutRate)*(1+quotaOverage) + quotaSlack
+	limit := (float64(f.contract.Rate)*quotaWindow.Seconds()+float64(f.contract.Burst))*(1+quotaOverage) + quotaSlack
 	most, sum, first := 0.0, 0.0, 0
 	for _, a := range f.admitted {
 		sum += float64(a.tokens)
@@ -291,11 +336,14 @@
 
 func withCutFleet(name string, t *testing.T, test func(f *cutFleet, size int)) {
 	t.Helper()
-	for _, size := range []int{4, 16, fleetSize} {
-		t.Run(fmt.Sprintf("%s, with %d gateways", name, size), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { test(newCutFleet(t, size), size) })
-		})
+	c := knapweedpulley.Contract{Customer: testCustomer, Rate: cutRate, Burst: cutRate}
+	for _, queues := range []bool{false, true} {
+		for _, size := range []int{4, 16, fleetSize} {
+			t.Run(fmt.Sprintf("%s, with %d gateways%s", name, size, map[bool]string{true: " and queues"}[queues]), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { test(newCutFleet(t, size, c, queues), size) })
+			})
+		}
 	}
 }
 
--- a/gateway/ratefleet_test.go
+++ b/gateway/ratefleet_test.go
@@ -111,6 +111,13 @@
 	return f.allowances[from.Entry].Lend(customer, n), nil
 }
 
+// Reserve implements knapweedpulley.AllowanceLink.
+func (f *rateFleet) Reserve(
+	ctx context.Context, at knapweedpulley.Member, r knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	return f.allowances[at.Entry].Reserve(ctx, r)
+}
+
 // play sends requests for d that sum up to the given share of the contract, to gateways at random,
 // and returns the share that was admitted.
 func (f *rateFleet) play(d time.Duration, share float64) float64 {
--- a/gateway/ratelimiter.go
+++ b/gateway/ratelimiter.go
@@ -40,6 +40,8 @@
 
 	mu           sync.Mutex
 	backoffUntil map[knapweedpulley.CustomerID]knapweedpulley.Instant
+	// silentUntil is when a holder of a queue that didn't answer is asked again.
+	silentUntil map[knapweedpulley.EntryID]knapweedpulley.Instant
 }
 
 // NewRateLimiter returns the rate limiter of one gateway of a group.
@@ -50,6 +52,7 @@
 	return &RateLimiter{
 		allowances: allowances, link: link, group: group, clock: clock, log: log,
 		backoffUntil: make(map[knapweedpulley.CustomerID]knapweedpulley.Instant),
+		silentUntil:  make(map[knapweedpulley.EntryID]knapweedpulley.Instant),
 	}
 }
 
@@ -95,8 +98,7 @@
 	if d <= 0 || machine.Pause(ctx, d) == nil {
 		return nil
 	}
-	return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
-		"the caller disconnected while waiting for its rate")
+	return leftWhileWaiting()
 }
 
 // Return returns the tokens of a request that has not run.
--- a/gateway/ratelimiter_test.go
+++ b/gateway/ratelimiter_test.go
@@ -39,6 +39,12 @@
 	return lent, nil
 }
 
+func (l *fakeAllowanceLink) Reserve(
+	ctx context.Context, at knapweedpulley.Member, r knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	return l.allowances[at.Entry].Reserve(ctx, r)
+}
+
 func newAllowances() *contract.Allowances {
 	a := contract.NewAllowances(fake.Clock{}, "one", 2)
 	a.Configure([]knapweedpulley.Contract{{Customer: testCustomer, Rate: 1000, Burst: 1000}})
--- /dev/null
+++ b/gateway/ratequeue.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/knapweedpulley/knapweedpulley"
+)
+
+const (
+	// queueAnswerTimeout bounds the wait for the answer of one holder beyond the time that a call waits in its
+	// queue. It allows for several round trips within a region to a slow machine.
+	queueAnswerTimeout = borrowTimeout
+	// maxQueueRequest is the longest wait in one request to a holder. After it the call asks again, so that a
+	// frozen holder is noticed.
+	maxQueueRequest = 1500 * time.Millisecond
+	// holderBackoff is the time for which a holder that didn't answer is not asked.
+	holderBackoff = 500 * time.Millisecond
+)
+
+// Outcomes of a reservation, as they are counted.
+const (
+	queueGranted     = "granted"
+	queueWaited      = "waited"
+	queueRefused     = "refused"
+	queueUnreachable = "unreachable"
+	queueLeft        = "left"
+)
+
+// errNoHolder is the error of a reservation that no holder has answered.
+var errNoHolder = errors.New("no holder of the contract answers")
+
+// queueVisit tells how a call got its tokens, for its log line.
+type queueVisit struct {
+	holder  knapweedpulley.EntryID
+	waited  time.Duration
+	outcome string
+}
+
+// Acquire takes the tokens for a call in the queue of its customer's contract. If there is none, or no holder
+// of the contract answers, it charges them as [RateLimiter.Charge] does, with the given wait. The error is a
+// *knapweedpulley.Refusal.
+func (r *RateLimiter) Acquire(
+	ctx context.Context, call knapweedpulley.Reservation, chargeWait time.Duration,
+) (queueVisit, error) {
+	visit, err := r.reserve(ctx, call)
+	if errors.Is(err, errNoHolder) {
+		err = r.Charge(ctx, call.Customer, call.Tokens, chargeWait)
+	}
+	return visit, err
+}
+
+// reserve takes the tokens for a call in a queue. It returns errNoHolder if there is no queue to ask.
+func (r *RateLimiter) reserve(ctx context.Context, call knapweedpulley.Reservation) (queueVisit, error) {
+	list, queues := r.allowances.Queues(call.Customer)
+	if !queues {
+		return queueVisit{}, errNoHolder
+	}
+	self := r.group.Self().Entry
+	holding := slices.ContainsFunc(list, func(m knapweedpulley.Member) bool { return m.Entry == self })
+	// A gateway without a part may have tokens of a call that didn't run.
+	if !holding && r.allowances.Take(call.Customer, call.Tokens, 0).Taken {
+		return queueVisit{holder: self, outcome: queueGranted}, nil
+	}
+	until := r.clock.Now().Add(call.MaxWait)
+	holders, granted := r.probe(ctx, r.nearestFirst(list), call)
+	if granted != "" {
+		return queueVisit{holder: granted, outcome: queueGranted}, nil
+	}
+	for _, h := range holders {
+		visit, err := r.waitAt(ctx, h, call, until)
+		if err == nil || visit.outcome != queueUnreachable {
+			return visit, err
+		}
+	}
+	if ctx.Err() != nil {
+		return queueVisit{outcome: queueLeft}, leftWhileWaiting()
+	}
+	return queueVisit{outcome: queueUnreachable}, errNoHolder
+}
+
+// nearestFirst returns the holders that answer: the gateway itself, those of its zone, then the others.
+func (r *RateLimiter) nearestFirst(list []knapweedpulley.Member) []knapweedpulley.Member {
+	self := r.group.Self()
+	distance := func(m knapweedpulley.Member) int {
+		switch {
+		case m.Entry == self.Entry:
+			return 0
+		case m.Zone == self.Zone:
+			return 1
+		default:
+			return 2
+		}
+	}
+	now := r.clock.Now()
+	r.mu.Lock()
+	holders := slices.DeleteFunc(slices.Clone(list), func(m knapweedpulley.Member) bool { return r.silentUntil[m.Entry].After(now) })
+	r.mu.Unlock()
+	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+	slices.SortStableFunc(holders, func(m, n knapweedpulley.Member) int { return cmp.Compare(distance(m), distance(n)) })
+	return holders
+}
+
+// probe asks the holders in turn for the tokens without waiting. It returns the one that granted them, or those
+// that answered in the order of the waits that they stated.
+func (r *RateLimiter) probe(
+	ctx context.Context, holders []knapweedpulley.Member, call knapweedpulley.Reservation,
+) ([]knapweedpulley.Member, knapweedpulley.EntryID) {
+	waits := make(map[knapweedpulley.EntryID]time.Duration, len(holders))
+	call.MaxWait = 0
+	for _, h := range holders {
+		result, err := r.reserveAt(ctx, h, call)
+		if err != nil {
+			continue
+		}
+		if result.Granted {
+			return nil, h.Entry
+		}
+		waits[h.Entry] = result.RetryAfter
+	}
+	answered := slices.DeleteFunc(holders, func(m knapweedpulley.Member) bool {
+		_, known := waits[m.Entry]
+		return !known
+	})
+	slices.SortStableFunc(answered, func(m, n knapweedpulley.Member) int { return cmp.Compare(waits[m.Entry], waits[n.Entry]) })
+	return answered, ""
+}
+
+// waitAt waits in the queue of a holder until the given instant. The outcome is queueUnreachable if the holder
+// didn't answer or has no queue any more.
+func (r *RateLimiter) waitAt(
+	ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation, until knapweedpulley.Instant,
+) (queueVisit, error) {
+	visit := queueVisit{holder: h.Entry}
+	began := r.clock.Now()
+	for {
+		// The last request states a wait, however short, so that a place is kept if the call is refused.
+		call.MaxWait = max(1, until.Sub(r.clock.Now()))
+		result, err := r.reserveAt(ctx, h, call)
+		visit.waited = r.clock.Now().Sub(began)
+		switch {
+		case err == nil && result.Granted:
+			visit.outcome = queueWaited
+			return visit, nil
+		case err == nil:
+			visit.outcome = queueRefused
+			return visit, knapweedpulley.NewRefusal(knapweedpulley.CodeRateExceeded, knapweedpulley.NotRun,
+				"customer %s is over its rate", call.Customer).WithRetryAfter(result.RetryAfter)
+		case ctx.Err() != nil:
+			visit.outcome = queueLeft
+			return visit, leftWhileWaiting()
+		case call.MaxWait > maxQueueRequest && errors.Is(err, errStillWaiting) && r.answers(ctx, h, call):
+		default:
+			visit.outcome = queueUnreachable
+			return visit, err
+		}
+	}
+}
+
+// errStillWaiting is the error of a request to a holder that has lasted for maxQueueRequest.
+var errStillWaiting = errors.New("request for tokens has lasted for its longest time")
+
+// answers reports whether a holder answers at all.
+func (r *RateLimiter) answers(ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation) bool {
+	// Its tokens are never there.
+	call.MaxWait, call.Tokens = 0, 0
+	call.Fingerprint = 0
+	_, err := r.reserveAt(ctx, h, call)
+	return err == nil
+}
+
+// reserveAt sends one request to a holder, or asks the own queue.
+func (r *RateLimiter) reserveAt(
+	ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	caller := ctx
+	ctx, cancel := context.WithTimeout(ctx, min(call.MaxWait, maxQueueRequest)+queueAnswerTimeout)
+	defer cancel()
+	if h.Entry == r.group.Self().Entry {
+		result, err := r.allowances.Reserve(ctx, call)
+		return result, stillWaiting(ctx, err)
+	}
+	result, err := r.link.Reserve(ctx, h, call)
+	if err == nil {
+		return result, nil
+	}
+	var refusal *knapweedpulley.Refusal
+	if call.MaxWait == 0 && !errors.As(err, &refusal) && caller.Err() == nil {
+		r.mu.Lock()
+		r.silentUntil[h.Entry] = r.clock.Now().Add(holderBackoff)
+		r.mu.Unlock()
+		r.log.WithField("gateway", h.Entry).WithField("customer", call.Customer).WithError(err).
+			Warn("reserving tokens at a gateway failed; asking another one")
+	}
+	return result, stillWaiting(ctx, err)
+}
+
+// stillWaiting marks an error that is due to the longest time of a request.
+func stillWaiting(ctx context.Context, err error) error {
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errors.Mark(err, errStillWaiting)
+	}
+	return err
+}
+
+// leftWhileWaiting is the refusal of a call whose caller left, or whose deadline passed.
+func leftWhileWaiting() *knapweedpulley.Refusal {
+	return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
+		"the caller disconnected while waiting for its rate")
+}
--- a/link/allowances.go
+++ b/link/allowances.go
@@ -48,6 +48,34 @@
 	return knapweedpulley.Tokens(answer.GetTokens()), nil
 }
 
+// Reserve implements knapweedpulley.AllowanceLink.
+func (b *AllowanceBorrower) Reserve(
+	ctx context.Context, at knapweedpulley.Member, r knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	b.connections.DiscardFailed(at.Address)
+	conn, err := b.connections.To(at.Address)
+	if err != nil {
+		return knapweedpulley.ReservationResult{}, err
+	}
+	answer, err := linkpb.NewAllowancesClient(conn).Reserve(ctx, &linkpb.ReserveRequest{
+		Customer: string(r.Customer), Tokens: int64(r.Tokens), Route: string(r.Route), Priority: int64(r.Priority),
+		MaxWaitNanoseconds: int64(r.MaxWait), Fingerprint: uint64(r.Fingerprint),
+	})
+	if grpcstatus.Code(err) == codes.FailedPrecondition {
+		b.timeouts.record(at.Address, false)
+		return knapweedpulley.ReservationResult{}, knapweedpulley.NewRefusal(
+			knapweedpulley.CodeNotReady, knapweedpulley.NotRun, "gateway %s has no queue for customer %s", at.Entry, r.Customer)
+	}
+	if err != nil {
+		b.handleError(at.Address, err)
+		return knapweedpulley.ReservationResult{}, errors.Wrapf(err, "reserve tokens at %s", at.Entry)
+	}
+	b.timeouts.record(at.Address, false)
+	return knapweedpulley.ReservationResult{
+		Granted: answer.GetGranted(), RetryAfter: time.Duration(answer.GetRetryAfterNanoseconds()),
+	}, nil
+}
+
 // handleError closes the connection to address if loans have timed out on it for long
 // enough. Until then other calls on it may still get their answers.
 func (b *AllowanceBorrower) handleError(address string, err error) {
@@ -79,3 +107,19 @@
 	n := s.lender.Lend(knapweedpulley.CustomerID(m.GetCustomer()), knapweedpulley.Tokens(m.GetTokens()))
 	return &linkpb.LendResponse{Tokens: int64(n)}, nil
 }
+
+// Reserve implements linkpb.AllowancesServer.
+func (s *allowanceServer) Reserve(ctx context.Context, m *linkpb.ReserveRequest) (*linkpb.ReserveResponse, error) {
+	result, err := s.lender.Reserve(ctx, knapweedpulley.Reservation{
+		Customer: knapweedpulley.CustomerID(m.GetCustomer()), Tokens: knapweedpulley.Tokens(m.GetTokens()),
+		Route: knapweedpulley.RouteID(m.GetRoute()), Priority: int(m.GetPriority()),
+		MaxWait: time.Duration(m.GetMaxWaitNanoseconds()), Fingerprint: knapweedpulley.Fingerprint(m.GetFingerprint()),
+	})
+	switch {
+	case ctx.Err() != nil:
+		return nil, grpcstatus.FromContextError(ctx.Err()).Err()
+	case err != nil:
+		return nil, grpcstatus.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &linkpb.ReserveResponse{Granted: result.Granted, RetryAfterNanoseconds: int64(result.RetryAfter)}, nil
+}
--- a/link/connections_test.go
+++ b/link/connections_test.go
@@ -11,7 +11,9 @@
 )
 
 // promptLender lends what is requested.
-type promptLender struct{}
+type promptLender struct {
+	knapweedpulley.AllowanceLender
+}
 
 func (promptLender) Lend(_ knapweedpulley.CustomerID, n knapweedpulley.Tokens) knapweedpulley.Tokens {
 	return n
--- a/residency.go
+++ b/residency.go
@@ -230,10 +230,17 @@
 	// Borrow requests tokens of a gateway's part and returns how many it lends.
 	// They are deducted from its part, whether or not the answer arrives.
 	Borrow(ctx context.Context, from Member, customer CustomerID, n Tokens) (Tokens, error)
+	// Reserve takes the tokens for a call from a gateway's queue and waits there until the
+	// call's turn. A grant takes the tokens whether or not the answer arrives. An error means
+	// that the gateway has no queue for the customer or didn't answer.
+	Reserve(ctx context.Context, at Member, r Reservation) (ReservationResult, error)
 }
 
 // AllowanceLender lends tokens of its parts to other gateways.
 type AllowanceLender interface {
 	// Lend deducts up to n tokens from the part and returns how many.
 	Lend(customer CustomerID, n Tokens) Tokens
+	// Reserve queues a call until its tokens are granted or it is refused. The end of ctx
+	// frees its place. An error means that the gateway has no queue for the customer.
+	Reserve(ctx context.Context, r Reservation) (ReservationResult, error)
 }
--- a/share.go
+++ b/share.go
@@ -8,6 +8,9 @@
 	Customer CustomerID
 	Rate     TokensPerSecond
 	Burst    Tokens
+	// Slack is added to Burst. Operators tolerate a number of tokens beyond a contract,
+	// whatever its size.
+	Slack Tokens
 }
 
 // Portion is a part of a customer's contract, counted in units of which
