--- a/contract/line.go
+++ b/contract/line.go
@@ -244,6 +244,7 @@
 func (p *allowance) supply(now knapweedpulley.Instant) ratequeue.Supply {
 	s := ratequeue.Supply{
 		Level: p.bucket.level, Rate: float64(p.contract.Rate) / float64(p.holderCount), Burst: p.bucket.burst,
+		Parts: p.holderCount,
 	}
 	if p.accruesFrom.After(now) {
 		s.Level -= s.Rate * p.accruesFrom.Sub(now).Seconds()
--- a/gateway/ratecut_test.go
+++ b/gateway/ratecut_test.go
@@ -70,7 +70,7 @@
 	gateways []*cutGateway
 	contract knapweedpulley.Contract
 	// queues is set if calls queue for the customer's rate.
-	queues bool
+	queues   bool
 	byID     map[knapweedpulley.EntryID]*cutGateway
 	mu       sync.Mutex
 	admitted []admission
--- a/gateway/ratequeue.go
+++ b/gateway/ratequeue.go
@@ -16,9 +16,9 @@
 	// queueAnswerTimeout bounds the wait for the answer of one holder beyond the time that a call waits in its
 	// queue. It allows for several round trips within a region to a slow machine.
 	queueAnswerTimeout = borrowTimeout
-	// maxQueueRequest is the longest wait in one request to a holder. After it the call asks again, so that a
-	// frozen holder is noticed.
-	maxQueueRequest = 1500 * time.Millisecond
+	// holderCheckPeriod is the time after which a gateway whose call waits at a holder checks that the holder
+	// still answers. A holder that is frozen doesn't end its connections.
+	holderCheckPeriod = 1500 * time.Millisecond
 	// holderBackoff is the time for which a holder that didn't answer is not asked.
 	holderBackoff = 500 * time.Millisecond
 )
@@ -132,44 +132,64 @@
 }
 
 // waitAt waits in the queue of a holder until the given instant. The outcome is queueUnreachable if the holder
-// didn't answer or has no queue any more.
+// doesn't answer or has no queue any more.
 func (r *RateLimiter) waitAt(
 	ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation, until knapweedpulley.Instant,
 ) (queueVisit, error) {
-	visit := queueVisit{holder: h.Entry}
 	began := r.clock.Now()
+	// A wait that is not zero keeps a place if the call is refused.
+	call.MaxWait = max(1, until.Sub(began))
+	result, err := r.waitWatched(ctx, h, call)
+	visit := queueVisit{holder: h.Entry, waited: r.clock.Now().Sub(began)}
+	switch {
+	case err == nil && result.Granted:
+		visit.outcome = queueWaited
+	case err == nil:
+		visit.outcome = queueRefused
+		err = knapweedpulley.NewRefusal(knapweedpulley.CodeRateExceeded, knapweedpulley.NotRun,
+			"customer %s is over its rate", call.Customer).WithRetryAfter(result.RetryAfter)
+	case ctx.Err() != nil:
+		visit.outcome = queueLeft
+		err = leftWhileWaiting()
+	default:
+		visit.outcome = queueUnreachable
+	}
+	return visit, err
+}
+
+// waitWatched waits for the result of a reservation as long as the holder answers.
+func (r *RateLimiter) waitWatched(
+	ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	if h.Entry == r.group.Self().Entry || call.MaxWait <= holderCheckPeriod {
+		return r.reserveAt(ctx, h, call)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var result knapweedpulley.ReservationResult
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		result, err = r.reserveAt(ctx, h, call)
+	}()
+	ticker := time.NewTicker(holderCheckPeriod)
+	defer ticker.Stop()
 	for {
-		// The last request states a wait, however short, so that a place is kept if the call is refused.
-		call.MaxWait = max(1, until.Sub(r.clock.Now()))
-		result, err := r.reserveAt(ctx, h, call)
-		visit.waited = r.clock.Now().Sub(began)
-		switch {
-		case err == nil && result.Granted:
-			visit.outcome = queueWaited
-			return visit, nil
-		case err == nil:
-			visit.outcome = queueRefused
-			return visit, knapweedpulley.NewRefusal(knapweedpulley.CodeRateExceeded, knapweedpulley.NotRun,
-				"customer %s is over its rate", call.Customer).WithRetryAfter(result.RetryAfter)
-		case ctx.Err() != nil:
-			visit.outcome = queueLeft
-			return visit, leftWhileWaiting()
-		case call.MaxWait > maxQueueRequest && errors.Is(err, errStillWaiting) && r.answers(ctx, h, call):
-		default:
-			visit.outcome = queueUnreachable
-			return visit, err
+		select {
+		case <-done:
+			return result, err
+		case <-ticker.C:
+			if !r.answers(ctx, h, call) {
+				cancel()
+			}
 		}
 	}
 }
 
-// errStillWaiting is the error of a request to a holder that has lasted for maxQueueRequest.
-var errStillWaiting = errors.New("request for tokens has lasted for its longest time")
-
 // answers reports whether a holder answers at all.
 func (r *RateLimiter) answers(ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation) bool {
-	// Its tokens are never there.
-	call.MaxWait, call.Tokens = 0, 0
-	call.Fingerprint = 0
+	call.MaxWait, call.Tokens, call.Fingerprint = 0, 0, 0
 	_, err := r.reserveAt(ctx, h, call)
 	return err == nil
 }
@@ -179,11 +199,10 @@
 	ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation,
 ) (knapweedpulley.ReservationResult, error) {
 	caller := ctx
-	ctx, cancel := context.WithTimeout(ctx, min(call.MaxWait, maxQueueRequest)+queueAnswerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, call.MaxWait+queueAnswerTimeout)
 	defer cancel()
 	if h.Entry == r.group.Self().Entry {
-		result, err := r.allowances.Reserve(ctx, call)
-		return result, stillWaiting(ctx, err)
+		return r.allowances.Reserve(ctx, call)
 	}
 	result, err := r.link.Reserve(ctx, h, call)
 	if err == nil {
@@ -197,15 +216,7 @@
 		r.log.WithField("gateway", h.Entry).WithField("customer", call.Customer).WithError(err).
 			Warn("reserving tokens at a gateway failed; asking another one")
 	}
-	return result, stillWaiting(ctx, err)
-}
-
-// stillWaiting marks an error that is due to the longest time of a request.
-func stillWaiting(ctx context.Context, err error) error {
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return errors.Mark(err, errStillWaiting)
-	}
-	return err
+	return result, err
 }
 
 // leftWhileWaiting is the refusal of a call whose caller left, or whose deadline passed.
--- /dev/null
+++ b/gateway/ratequeue_test.go
@@ -0,0 +1,322 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/contract"
+)
+
+const (
+	// scarceRate is the rate of the customer that asks for scarceDemand tokens a second.
+	scarceRate   = 18_800
+	scarceDemand = 44_000
+	// calmRate is the rate of the small customers, of which they use calmShare.
+	calmRate  = 2_600
+	calmShare = 0.6
+	// firstAnswerTime is the part of an objective that is left for the first answer.
+	firstAnswerTime = 200 * time.Millisecond
+	// atOnce is the longest time in which a refusal counts as told at once: two holders are asked, and the one
+	// with the shorter wait is asked again.
+	atOnce = 10 * time.Millisecond
+)
+
+// loadRoute is a route of a customer. Callers wait up to timeout.
+type loadRoute struct {
+	id        knapweedpulley.RouteID
+	priority  int
+	objective time.Duration
+	timeout   time.Duration
+}
+
+func loadRoutes() []loadRoute {
+	return []loadRoute{
+		{"urgent", 0, 500 * time.Millisecond, 6 * time.Second},
+		{"usual", 1, 1200 * time.Millisecond, 10 * time.Second},
+		{"patient", 2, 8 * time.Second, 30 * time.Second},
+	}
+}
+
+// load is what a customer sends.
+type load struct {
+	rate       float64
+	routes     []loadRoute
+	minimum    int
+	maximum    int
+	oneGateway bool
+}
+
+// loadCall is one request and what its caller got.
+type loadCall struct {
+	at      time.Time
+	route   int
+	tokens  knapweedpulley.Tokens
+	first   bool
+	second  bool
+	came    bool
+	waited  time.Duration
+	refusal time.Duration
+	// returnAfter is the Retry-After of the first refusal.
+	returnAfter time.Duration
+	withinLimit bool
+}
+
+// markWithinLimit marks the calls that came when the whole contract, as one bucket that was charged for all admitted
+// calls, had their tokens within their objective.
+func (f *cutFleet) markWithinLimit(calls []*loadCall, l load) {
+	rate, burst := float64(f.contract.Rate), float64(f.contract.Burst)
+	level, at, next := burst, time.Time{}, 0
+	advance := func(now time.Time) {
+		if !at.IsZero() {
+			level = min(burst, level+rate*now.Sub(at).Seconds())
+		}
+		at = now
+	}
+	for _, c := range calls {
+		for ; next < len(f.admitted) && f.admitted[next].at.Before(c.at); next++ {
+			advance(f.admitted[next].at)
+			level -= float64(f.admitted[next].tokens)
+		}
+		advance(c.at)
+		wait := l.routes[c.route].objective - firstAnswerTime
+		c.withinLimit = level+rate*wait.Seconds() >= min(float64(c.tokens), burst)
+	}
+}
+
+// replay sends a load for d and returns the calls that came in it, after all have ended.
+func (f *cutFleet) replay(d time.Duration, l load) []*loadCall {
+	f.t.Helper()
+	var calls sync.WaitGroup
+	var list []*loadCall
+	pause := float64(l.minimum+l.maximum) / 2 / l.rate * float64(time.Second)
+	next := time.Now()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
+		f.step()
+		for ; !next.After(time.Now()); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
+			g := f.gateways[0]
+			if !l.oneGateway {
+				g = f.gateways[f.random.IntN(len(f.gateways))]
+			}
+			if g.frozen {
+				continue
+			}
+			c := &loadCall{
+				at:    time.Now(),
+				route: f.random.IntN(len(l.routes)), tokens: knapweedpulley.Tokens(l.minimum + f.random.IntN(l.maximum-l.minimum+1)),
+			}
+			list = append(list, c)
+			fingerprint := f.nextFingerprint()
+			calls.Go(func() { f.call(g, c, l, fingerprint) })
+			synctest.Wait()
+		}
+	}
+	calls.Wait()
+	f.markWithinLimit(list, l)
+	return list
+}
+
+// call sends a request, and sends it again once if its caller can wait for the time that it is told.
+func (f *cutFleet) call(g *cutGateway, c *loadCall, l load, fingerprint knapweedpulley.Fingerprint) {
+	r := l.routes[c.route]
+	began := time.Now()
+	err := f.acquire(g, r, c.tokens, fingerprint)
+	c.waited = time.Since(began)
+	c.first = err == nil
+	if c.first {
+		f.admit(c.tokens)
+		return
+	}
+	c.refusal, c.returnAfter = c.waited, knapweedpulley.RefusalOf(err, knapweedpulley.CodeInternal).RetryAfter
+	if c.returnAfter > (r.timeout-c.waited)/3 {
+		return
+	}
+	c.came = true
+	time.Sleep(c.returnAfter)
+	again := g
+	if !l.oneGateway {
+		f.mu.Lock()
+		again = f.gateways[f.random.IntN(len(f.gateways))]
+		f.mu.Unlock()
+	}
+	if c.second = !again.frozen && f.acquire(again, r, c.tokens, fingerprint) == nil; c.second {
+		f.admit(c.tokens)
+	}
+}
+
+func (f *cutFleet) acquire(g *cutGateway, r loadRoute, n knapweedpulley.Tokens, fingerprint knapweedpulley.Fingerprint) error {
+	ctx, cancel := context.WithTimeout(f.t.Context(), r.timeout)
+	defer cancel()
+	_, err := g.limiter.Acquire(ctx, knapweedpulley.Reservation{
+		Customer: testCustomer, Tokens: n, Route: r.id, Priority: r.priority, MaxWait: r.objective - firstAnswerTime,
+		Fingerprint: fingerprint,
+	}, r.objective/3)
+	return err
+}
+
+// loadResult sums up calls.
+type loadResult struct {
+	calls, first, second, came, refusedAtOnce int
+	asked, served                             float64
+	refusedWithinLimit                        int
+}
+
+func sumUp(calls []*loadCall, counts func(c *loadCall) bool) loadResult {
+	var s loadResult
+	for _, c := range calls {
+		if !counts(c) {
+			continue
+		}
+		s.calls++
+		s.asked += float64(c.tokens)
+		switch {
+		case c.first:
+			s.first++
+			s.served += float64(c.tokens)
+		case c.second:
+			s.second++
+			s.served += float64(c.tokens)
+		}
+		if c.came {
+			s.came++
+		}
+		if !c.first && c.refusal <= atOnce {
+			s.refusedAtOnce++
+		}
+		if !c.first && c.withinLimit {
+			s.refusedWithinLimit++
+		}
+	}
+	return s
+}
+
+func (s loadResult) share() float64 { return s.served / max(1, s.asked) }
+
+func (s loadResult) String() string {
+	refused := max(1, s.calls-s.first)
+	return fmt.Sprintf("%d calls, served %.3f, at once or in the queue %.3f, of %d that returned %.3f, refusals at once %.3f",
+		s.calls, s.share(), float64(s.first)/float64(max(1, s.calls)), s.came, float64(s.second)/float64(max(1, s.came)),
+		float64(s.refusedAtOnce)/float64(refused))
+}
+
+// report logs what callers got, by route and by size.
+func report(t *testing.T, name string, calls []*loadCall, l load) []loadResult {
+	t.Helper()
+	var list []loadResult
+	for i, r := range l.routes {
+		s := sumUp(calls, func(c *loadCall) bool { return c.route == i })
+		small := sumUp(calls, func(c *loadCall) bool { return c.route == i && c.tokens < 2000 })
+		large := sumUp(calls, func(c *loadCall) bool { return c.route == i && c.tokens > 3300 })
+		t.Logf("%s: %s: %s; below 2,000 tokens %.3f, above 3,300 %.3f", name, r.id, s, small.share(), large.share())
+		list = append(list, s)
+	}
+	middle := knapweedpulley.Tokens(l.minimum+l.maximum) / 2
+	t.Logf("%s: smaller half: %s", name, sumUp(calls, func(c *loadCall) bool { return c.tokens < middle }))
+	t.Logf("%s: larger half: %s", name, sumUp(calls, func(c *loadCall) bool { return c.tokens >= middle }))
+	return list
+}
+
+// withQueueFleets runs a test in a fleet with queues and in one without, and passes it what both got.
+func withQueueFleets(
+	name string, t *testing.T, c knapweedpulley.Contract, play func(f *cutFleet) []*loadCall,
+	check func(t *testing.T, f *cutFleet, queued, charged []*loadCall),
+) {
+	t.Helper()
+	for _, size := range []int{4, 22, 27, fleetSize} {
+		t.Run(fmt.Sprintf("%s, with %d gateways", name, size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				charged := play(newCutFleet(t, size, c, false))
+				f := newCutFleet(t, size, c, true)
+				check(t, f, play(f), charged)
+			})
+		})
+	}
+}
+
+func scarceLoad(oneGateway bool) load {
+	return load{rate: scarceDemand, routes: loadRoutes(), minimum: 600, maximum: 4700, oneGateway: oneGateway}
+}
+
+func gatewaysOf(oneGateway bool) string {
+	if oneGateway {
+		return "all at one gateway"
+	}
+	return "at all gateways"
+}
+
+// assertShares requires that routes and sizes get about the same share of what they ask for, and a more urgent
+// route not less than a less urgent one.
+func assertShares(t *testing.T, calls []*loadCall, routes []loadResult) {
+	t.Helper()
+	is := is.New(t)
+	for i, s := range routes[1:] {
+		is.True(routes[i].share() >= s.share()-0.02) // a more urgent route gets no less, up to the random order of arrivals
+	}
+	is.True(routes[0].share()-routes[len(routes)-1].share() <= 0.15)
+	for i := range routes {
+		small := sumUp(calls, func(c *loadCall) bool { return c.route == i && c.tokens < 2000 })
+		large := sumUp(calls, func(c *loadCall) bool { return c.route == i && c.tokens > 3300 })
+		is.True(math.Abs(small.share()-large.share()) <= 0.2) // neither small nor large requests are passed over
+		is.True(large.share() > 0.2)
+	}
+}
+
+// TestScarceRateIsShared guards against a customer of which some routes or large requests are refused in favour of
+// others, and against refusals that come late or tell a time at which the caller is refused again.
+func TestScarceRateIsShared(t *testing.T) {
+	c := knapweedpulley.Contract{Customer: testCustomer, Rate: scarceRate, Burst: scarceRate}
+	for _, one := range []bool{false, true} {
+		l := scarceLoad(one)
+		play := func(f *cutFleet) []*loadCall {
+			f.replay(20*time.Second, l)
+			return f.replay(90*time.Second, l)
+		}
+		withQueueFleets("callers "+gatewaysOf(one), t, c, play, func(t *testing.T, f *cutFleet, queued, charged []*loadCall) {
+			is := is.New(t)
+			report(t, "feature off", charged, l)
+			routes := report(t, "feature on", queued, l)
+			assertShares(t, queued, routes)
+			all, before := sumUp(queued, everyCall), sumUp(charged, everyCall)
+			is.True(all.served >= 0.95*scarceRate*90)             // the whole rate is used
+			is.True(all.share() >= before.share()-0.02)           // no less is served than without queues
+			is.True(float64(all.second) >= 0.9*float64(all.came)) // who returns when told is served
+			is.True(all.refusedAtOnce >= (all.calls-all.first)*9/10)
+			f.assertWithinContract()
+		})
+	}
+}
+
+func everyCall(*loadCall) bool { return true }
+
+// TestSmallCustomerIsNotRefused guards against refusals of a customer within its rate because the part of the rate
+// at the gateway where it calls is smaller than a request.
+func TestSmallCustomerIsNotRefused(t *testing.T) {
+	c := knapweedpulley.Contract{Customer: testCustomer, Rate: calmRate, Burst: calmRate}
+	for _, one := range []bool{false, true} {
+		l := load{rate: calmShare * calmRate, routes: loadRoutes(), minimum: 1600, maximum: 4700, oneGateway: one}
+		play := func(f *cutFleet) []*loadCall { return f.replay(10*time.Minute, l) }
+		withQueueFleets("callers "+gatewaysOf(one), t, c, play, func(t *testing.T, f *cutFleet, queued, charged []*loadCall) {
+			report(t, "feature off", charged, l)
+			report(t, "feature on", queued, l)
+			on, off := sumUp(queued, everyCall), sumUp(charged, everyCall)
+			t.Logf("refused within the limit: feature off %d of %d, feature on %d of %d",
+				off.refusedWithinLimit, off.calls, on.refusedWithinLimit, on.calls)
+			is.New(t).True(float64(on.refusedWithinLimit) <= 0.001*float64(on.calls))
+			f.assertWithinContract()
+		})
+	}
+}
+
+var _ = errors.New
+var _ = slices.Sort[[]int]
+var _ = contract.QueueSlack
--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -18,11 +18,16 @@
 	// placeTerm is how long a place is kept after its caller was told to return.
 	placeTerm = time.Second
 	// maxReturnTime is the longest time after which a caller is told to return to a kept place. Callers accept
-	// a third of the time that they have left.
-	maxReturnTime = 4 * time.Second
+	// a third of the time that they have left, which is shorter for routes with short objectives: it is
+	// limited to returnPatience times the time that the route's requests can wait as well.
+	maxReturnTime  = 4 * time.Second
+	returnPatience = 2
 	// placeShare is the part of a route's share that kept places may use, so that newcomers are served
 	// in time.
-	placeShare = 0.5
+	placeShare = 0.2
+	// unplacedReturnTime is the least time after which a caller without a place is told to return while the rate
+	// is scarce. If it returned sooner, it would most likely be refused again.
+	unplacedReturnTime = 10 * time.Second
 	// returnFraction is the part of the time that a route's requests can wait that a returning caller spends
 	// waiting in the queue.
 	returnFraction = 0.8
@@ -53,6 +58,8 @@
 	Level float64
 	Rate  float64
 	Burst float64
+	// Parts is the number of holders, whose rates add up to the customer's.
+	Parts int
 }
 
 // Ticket names a request in the queue. Zero names none.
@@ -81,6 +88,9 @@
 	// weight and demand are the sums over all routes.
 	weight float64
 	demand float64
+	// scarce is set while the customer asks for more than its rate. Otherwise requests are granted in the order
+	// of their latest starts, whatever their route.
+	scarce bool
 }
 
 // New returns an empty queue.
@@ -101,7 +111,8 @@
 }
 
 // Probe grants a request if it is its turn and its tokens are there, and otherwise returns the time that it
-// would wait. It takes no place.
+// would wait. It takes no place. A request is probed once at each holder before it enters the queue of one, and
+// counts as demand then.
 func (q *Queue) Probe(now knapweedpulley.Instant, s *Supply, r Request) (bool, time.Duration) {
 	q.Advance(now, s)
 	if e, returns := q.kept[r.Fingerprint]; returns && e.tokens == float64(r.Tokens) {
@@ -109,22 +120,25 @@
 			delete(q.kept, r.Fingerprint)
 			return true, 0
 		}
-		return false, max(0, e.key.Sub(now))
+		return false, 0
 	}
 	route := q.routeOf(now, s, r)
+	route.record(now, float64(r.Tokens))
+	q.advance(now, s)
 	e := &entry{route: route, tokens: float64(r.Tokens), key: now.Add(route.patience)}
 	q.last++
 	e.ticket = q.last
 	route.insert(e)
 	q.byTicket[e.ticket] = e
-	q.dispatch(s)
+	if !q.scarce || s.Level >= min(s.Burst, route.largest+q.reserve(route, s)) {
+		// Otherwise small requests would use the tokens that large ones wait for.
+		q.dispatch(s)
+	}
 	if _, waiting := q.byTicket[e.ticket]; !waiting {
 		q.dropOutcome(e.ticket)
-		route.record(now, e.tokens, route.patience)
 		return true, 0
 	}
-	i := slices.Index(route.entries, e)
-	wait := q.estimate(route, s, route.tokensBefore(i), e.tokens)
+	wait := q.estimate(s, e, slices.Index(route.entries, e), e.tokens)
 	route.remove(e)
 	delete(q.byTicket, e.ticket)
 	return false, wait
@@ -145,25 +159,22 @@
 		return ticket
 	}
 	route := q.routeOf(now, s, r)
-	route.record(now, float64(r.Tokens), max(1, r.LatestStart.Sub(now)))
-	q.advance(now, s)
+	route.patience = max(route.patience, r.LatestStart.Sub(now))
+	route.largest = max(route.largest, float64(r.Tokens))
+	route.lastUse = now
 	e := &entry{
 		ticket: ticket, route: route, tokens: float64(r.Tokens), fingerprint: r.Fingerprint,
 		key: r.LatestStart, until: r.LatestStart,
 	}
 	if len(q.byTicket) >= maxWaiting {
-		q.outcomes = append(q.outcomes, Outcome{Ticket: ticket, RetryAfter: q.estimate(
-			route, s, route.tokensBefore(len(route.entries)), e.tokens)})
+		wait := q.estimate(s, e, len(route.entries), e.tokens)
+		q.outcomes = append(q.outcomes, Outcome{Ticket: ticket, RetryAfter: max(wait, unplacedReturnTime)})
 		return ticket
 	}
 	i := route.insert(e)
 	q.byTicket[ticket] = e
 	if !q.admissible(now, s, e, i) {
-		// It may still be its turn, if its tokens are there.
-		q.dispatch(s)
-		if _, waiting := q.byTicket[ticket]; waiting {
-			q.refuse(now, s, e)
-		}
+		q.refuse(now, s, e)
 		return ticket
 	}
 	q.limitEarliest(e.until)
@@ -233,8 +244,9 @@
 	return "", false
 }
 
-// head returns the entry whose turn it is. Routes that have not used their share go first, in the order of
-// their requests' latest starts, then the route that is least ahead of its share.
+// head returns the entry whose turn it is: the one with the earliest latest start. While the rate is scarce, it is
+// the first one of the route whose requests can wait least among those that have not used their share, or if all
+// have, that of the route which is least ahead of it.
 func (q *Queue) head() *entry {
 	var first, owed *entry
 	most := 0.0
@@ -243,7 +255,7 @@
 			continue
 		}
 		e := r.entries[0]
-		if r.credit > 0 && (first == nil || first.key.After(e.key)) {
+		if (r.credit > 0 || !q.scarce) && (first == nil || q.precedes(e, first)) {
 			first = e
 		}
 		if relative := r.credit / r.weight; owed == nil || relative > most {
@@ -256,6 +268,15 @@
 	return owed
 }
 
+// precedes reports whether the first request of a route goes before that of another one. The order by patience lets
+// a route use the tokens that the routes with more time leave for it.
+func (q *Queue) precedes(a, b *entry) bool {
+	if q.scarce && a.route.patience != b.route.patience {
+		return a.route.patience < b.route.patience
+	}
+	return b.key.After(a.key)
+}
+
 // need returns the level at which a request is granted. One that is larger than the burst is granted when the
 // part is full.
 func (q *Queue) need(e *entry, s *Supply) float64 {
@@ -277,15 +298,45 @@
 	}
 }
 
-// estimate returns the time after which a request is granted that has the given number of the route's tokens
-// ahead of it: when its route has paid for those, and its own tokens have accrued.
-func (q *Queue) estimate(r *route, s *Supply, before, tokens float64) time.Duration {
-	paid := (before - r.credit) / q.share(r, s)
-	accrued := maxEstimate.Seconds()
-	if s.Rate > 0 {
-		accrued = (before + min(s.Burst, tokens+q.reserve(r, s)) - s.Level) / s.Rate
+// estimate returns the time after which a request of the given size is granted at position i of its route.
+func (q *Queue) estimate(s *Supply, e *entry, i int, tokens float64) time.Duration {
+	before := e.route.tokensBefore(i)
+	if q.scarce {
+		return q.scarceEstimate(s, e.route, before, tokens)
+	}
+	for _, other := range q.routes {
+		if other != e.route {
+			before += other.tokensBefore(other.position(e.key))
+		}
 	}
-	return durationOf(max(paid, accrued))
+	return durationOf(accrualTime(before+min(s.Burst, tokens)-s.Level, s.Rate))
+}
+
+// scarceEstimate returns the time after which a request with the given tokens of its route ahead of it is granted:
+// when the route has paid for those, and then its own tokens have accrued beside those of the routes whose
+// requests can wait less.
+func (q *Queue) scarceEstimate(s *Supply, r *route, before, tokens float64) time.Duration {
+	first := 0.0
+	for _, other := range q.routes {
+		if other != r && other.patience < r.patience {
+			first += other.weight / q.weight
+		}
+	}
+	lacking := min(s.Burst, tokens+q.reserve(r, s)) + before - s.Level
+	paid := 0.0
+	if before > r.credit {
+		// Until the route has paid, other routes use the tokens.
+		paid, lacking = (before-r.credit)/q.share(r, s), tokens
+	}
+	return durationOf(paid + accrualTime(lacking, s.Rate*(1-first)))
+}
+
+// accrualTime returns the time in seconds in which tokens accrue.
+func accrualTime(tokens, rate float64) float64 {
+	if rate <= 0 {
+		return maxEstimate.Seconds()
+	}
+	return max(0, tokens/rate)
 }
 
 // durationOf converts seconds to a duration between zero and maxEstimate.
@@ -294,16 +345,21 @@
 }
 
 // admissible reports whether a request at position i of its route will be granted in time, and those behind it
-// as well. It assumes the size of the route's largest request, so that small requests don't fill the
-// room that large ones wait for.
+// as well. While the rate is scarce, it assumes the size of the route's largest request, so that small requests
+// don't fill the room that large ones wait for.
 func (q *Queue) admissible(now knapweedpulley.Instant, s *Supply, e *entry, i int) bool {
-	r := e.route
-	before := r.tokensBefore(i)
-	if now.Add(q.estimate(r, s, before, r.largest)).After(e.until) {
+	r, size := e.route, e.tokens
+	if q.scarce {
+		size = r.largest
+	}
+	if now.Add(q.estimate(s, e, i, size)).After(e.until) {
 		return false
 	}
+	if !q.scarce {
+		return q.othersInTime(now, s, e)
+	}
 	share := q.share(r, s)
-	before += r.largest
+	before := r.tokensBefore(i) + size
 	for _, later := range r.entries[i+1:] {
 		if now.Add(durationOf((before - r.credit) / share)).After(later.key) {
 			return false
@@ -313,20 +369,40 @@
 	return true
 }
 
+// othersInTime reports whether the first request of each route behind a new one is still granted in time while the
+// rate isn't scarce.
+func (q *Queue) othersInTime(now knapweedpulley.Instant, s *Supply, added *entry) bool {
+	for _, r := range q.routes {
+		i := r.position(added.key)
+		if i < len(r.entries) && now.Add(q.estimate(s, r.entries[i], i, r.entries[i].tokens)).After(r.entries[i].key) {
+			return false
+		}
+	}
+	return true
+}
+
 // refuse ends a request that can't be granted in time, and keeps a place for its caller if that will be due soon
 // enough.
 func (q *Queue) refuse(now knapweedpulley.Instant, s *Supply, e *entry) {
 	r := e.route
 	r.remove(e)
 	delete(q.byTicket, e.ticket)
+	size := e.tokens
+	if q.scarce {
+		// Large requests are not told to return later than small ones.
+		size = r.largest
+	}
 	due := max(
-		q.estimate(r, s, r.tokensBefore(len(r.entries)), e.tokens),
-		durationOf((r.placeTokens+e.tokens-max(0, r.credit))/(placeShare*q.share(r, s))),
+		q.estimate(s, e, len(r.entries), size),
+		durationOf((r.placeTokens+size-max(0, r.credit))/(placeShare*q.share(r, s))),
 	)
 	wait := max(minReturnTime, due-time.Duration(returnFraction*float64(r.patience)))
 	o := Outcome{Ticket: e.ticket, RetryAfter: wait}
-	if _, taken := q.kept[e.fingerprint]; !taken && len(q.kept) < maxPlaces && wait <= maxReturnTime {
-		o.Kept = true
+	if q.scarce {
+		o.RetryAfter = max(wait, unplacedReturnTime)
+	}
+	if _, taken := q.kept[e.fingerprint]; !taken && len(q.kept) < maxPlaces && wait <= min(maxReturnTime, returnPatience*r.patience) {
+		o.Kept, o.RetryAfter = true, wait
 		place := &entry{
 			route: r, tokens: e.tokens, fingerprint: e.fingerprint, key: now.Add(due), until: now.Add(wait + placeTerm),
 		}
--- a/ratequeue/route.go
+++ b/ratequeue/route.go
@@ -18,6 +18,12 @@
 	creditTime = 8 * time.Second
 	// sizeTime is the time constant with which the size of a route's largest request is forgotten.
 	sizeTime = 30 * time.Second
+	// scarcityTime is the time constant of the average of the whole demand by which a rate counts as scarce. In it
+	// a small customer sends several requests, so that a chance row of them isn't taken for scarcity.
+	scarcityTime = 15 * time.Second
+	// scarceDemand is the demand, in relation to the rate, from which on a rate counts as scarce. A chance row of
+	// requests of a customer that uses three fifths of its rate stays below it.
+	scarceDemand = 1.25
 	// minDemand is the demand in tokens a second that a route counts with at least, so that it has a
 	// weight from its first request on.
 	minDemand = 1.0
@@ -27,9 +33,8 @@
 	priorityBonus = 0.1
 	// maxBonusSteps bounds the steps that count.
 	maxBonusSteps = 3
-	// patienceWeight is the weight of the last request in the average of the time that a route's requests
-	// can wait.
-	patienceWeight = 0.2
+	// reservedRequests is the number of requests of a route with less time for which others leave its tokens.
+	reservedRequests = 2
 )
 
 // route is the state of one route of the customer.
@@ -44,8 +49,10 @@
 	// demand is the recent demand in tokens a second, weight the weight that follows from it.
 	demand float64
 	weight float64
-	// largest is the size of the largest recent request, patience the average time that requests
-	// can wait.
+	// slowDemand is the demand over a longer time.
+	slowDemand float64
+	// largest is the size of the largest recent request, patience the longest time that a recent one could
+	// wait.
 	largest  float64
 	patience time.Duration
 	// placeTokens is the number of tokens of the entries without a caller.
@@ -69,14 +76,11 @@
 }
 
 // record adds a request to the route's demand.
-func (r *route) record(now knapweedpulley.Instant, tokens float64, patience time.Duration) {
+func (r *route) record(now knapweedpulley.Instant, tokens float64) {
 	r.demand += tokens / demandTime.Seconds()
+	r.slowDemand += tokens / scarcityTime.Seconds()
 	r.largest = max(r.largest, tokens)
 	r.lastUse = now
-	if r.patience == 0 {
-		r.patience = patience
-	}
-	r.patience += time.Duration(patienceWeight * float64(patience-r.patience))
 }
 
 // position returns where an entry with the given key belongs. It is behind those with the same key.
@@ -129,23 +133,29 @@
 		return
 	}
 	forget := math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+	forgetSlowly := math.Exp(-elapsed.Seconds() / scarcityTime.Seconds())
 	shrink := math.Exp(-elapsed.Seconds() / sizeTime.Seconds())
 	settle := 1 - math.Exp(-elapsed.Seconds()/creditTime.Seconds())
 	least := 0
 	for _, r := range q.routes {
 		r.demand *= forget
+		r.slowDemand *= forgetSlowly
 		r.largest *= shrink
+		r.patience = time.Duration(shrink * float64(r.patience))
 		least = max(least, r.priority)
 	}
 	q.weight, q.demand = 0, 0
+	slowDemand := 0.0
 	credits := 0.0
 	for _, r := range q.routes {
 		steps := min(maxBonusSteps, least-r.priority)
 		r.weight = max(minDemand, r.demand) * (1 + priorityBonus*float64(steps))
 		q.weight += r.weight
 		q.demand += r.demand
+		slowDemand += r.slowDemand
 		credits += r.credit
 	}
+	q.scarce = slowDemand > scarceDemand*s.Rate*float64(s.Parts)
 	change := s.Level - credits
 	for _, r := range q.routes {
 		share := r.weight / q.weight
@@ -179,20 +189,23 @@
 }
 
 // share returns the tokens a second that a route can count on: its part by weight, or what the others
-// leave.
+// leave. Each call asks all holders, so each of them sees the whole demand.
 func (q *Queue) share(r *route, s *Supply) float64 {
-	return max(1, s.Rate*r.weight/q.weight, s.Rate-(q.demand-r.demand))
+	return max(1, s.Rate*r.weight/q.weight, s.Rate-(q.demand-r.demand)/float64(s.Parts))
 }
 
-// reserve returns the tokens that a request of a route leaves for those that can wait less: what the
-// largest of them lacks of its tokens although it waits.
+// reserve returns the tokens that a request of a route leaves for those that can wait less: what belongs to their
+// routes, up to a few of their largest requests.
 func (q *Queue) reserve(r *route, s *Supply) float64 {
-	lacking, largest := 0.0, 0.0
+	if !q.scarce {
+		return 0
+	}
+	reserved, largest := 0.0, 0.0
 	for _, other := range q.routes {
 		largest = max(largest, other.largest)
-		if other != r && other.patience < r.patience && other.credit > 0 && other.demand > minDemand {
-			lacking = max(lacking, other.largest-s.Rate*other.patience.Seconds())
+		if other != r && other.patience < r.patience && other.demand > minDemand {
+			reserved += max(0, min(other.credit, reservedRequests*other.largest))
 		}
 	}
-	return max(0, min(lacking, s.Burst-largest))
+	return max(0, min(reserved, s.Burst-largest))
 }
