--- a/contract/line.go
+++ b/contract/line.go
@@ -79,6 +79,16 @@
 	return part.holders, true
 }
 
+// AccrualRate returns the rate at which tokens accrue at each holder of a customer's contract.
+func (a *Allowances) AccrualRate(customer knapweedpulley.CustomerID) knapweedpulley.TokensPerSecond {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if part, known := a.parts[customer]; known && part.holderCount > 0 {
+		return part.contract.Rate / knapweedpulley.TokensPerSecond(part.holderCount)
+	}
+	return 0
+}
+
 // serves reports whether calls queue for the tokens of a part.
 func (a *Allowances) serves(part *allowance) bool {
 	return a.queues && part.contract.Rate > 0 && part.holders != nil && part.holding && !part.lapsed
@@ -252,13 +262,14 @@
 	return s
 }
 
-// busy reports whether calls wait for the part's tokens.
+// busy reports whether calls wait for the part's tokens, or must ask the queue for them because the rate is
+// scarce.
 func (p *allowance) busy() bool {
 	if p.line == nil {
 		return false
 	}
 	requests, _ := p.line.queue.Waiting()
-	return requests > 0
+	return requests > 0 || p.line.queue.Scarce()
 }
 
 // clearLine ends the line of a part that the gateway no longer holds. Its calls ask another holder.
--- a/gateway/ratequeue.go
+++ b/gateway/ratequeue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -68,10 +69,13 @@
 		return queueVisit{holder: self, outcome: queueGranted}, nil
 	}
 	until := r.clock.Now().Add(call.MaxWait)
-	holders, granted := r.probe(ctx, r.nearestFirst(list), call)
+	holders, wait, granted := r.probe(ctx, r.nearestFirst(list), call)
 	if granted != "" {
 		return queueVisit{holder: granted, outcome: queueGranted}, nil
 	}
+	if len(holders) > 1 && r.combine(ctx, holders, call, wait) {
+		return queueVisit{holder: holders[0].Entry, outcome: queueGranted}, nil
+	}
 	for _, h := range holders {
 		visit, err := r.waitAt(ctx, h, call, until)
 		if err == nil || visit.outcome != queueUnreachable {
@@ -107,10 +111,10 @@
 }
 
 // probe asks the holders in turn for the tokens without waiting. It returns the one that granted them, or those
-// that answered in the order of the waits that they stated.
+// that answered in the order of the waits that they stated, and the shortest of these.
 func (r *RateLimiter) probe(
 	ctx context.Context, holders []knapweedpulley.Member, call knapweedpulley.Reservation,
-) ([]knapweedpulley.Member, knapweedpulley.EntryID) {
+) (answered []knapweedpulley.Member, shortest time.Duration, granted knapweedpulley.EntryID) {
 	waits := make(map[knapweedpulley.EntryID]time.Duration, len(holders))
 	call.MaxWait = 0
 	for _, h := range holders {
@@ -119,16 +123,48 @@
 			continue
 		}
 		if result.Granted {
-			return nil, h.Entry
+			return nil, 0, h.Entry
 		}
 		waits[h.Entry] = result.RetryAfter
 	}
-	answered := slices.DeleteFunc(holders, func(m knapweedpulley.Member) bool {
+	answered = slices.DeleteFunc(holders, func(m knapweedpulley.Member) bool {
 		_, known := waits[m.Entry]
 		return !known
 	})
 	slices.SortStableFunc(answered, func(m, n knapweedpulley.Member) int { return cmp.Compare(waits[m.Entry], waits[n.Entry]) })
-	return answered, ""
+	if len(answered) > 0 {
+		shortest = waits[answered[0].Entry]
+	}
+	return answered, shortest, ""
+}
+
+// combine takes the tokens for a call from two holders, if neither has enough by itself: a small customer would be
+// refused otherwise although its contract has the tokens. A holder lends nothing while others wait there or the
+// rate is scarce.
+func (r *RateLimiter) combine(
+	ctx context.Context, holders []knapweedpulley.Member, call knapweedpulley.Reservation, wait time.Duration,
+) bool {
+	lacking := knapweedpulley.Tokens(math.Ceil(r.allowances.AccrualRate(call.Customer).Over(wait)))
+	if lacking <= 0 || lacking >= call.Tokens {
+		return false
+	}
+	var lent knapweedpulley.Tokens
+	if holders[1].Entry == r.group.Self().Entry {
+		lent = r.allowances.Lend(call.Customer, lacking)
+	} else {
+		lent = r.borrowFrom(ctx, holders[1], call.Customer, lacking)
+	}
+	if lent <= 0 {
+		return false
+	}
+	rest := call
+	rest.MaxWait, rest.Tokens = 0, max(0, call.Tokens-lent)
+	result, err := r.reserveAt(ctx, holders[0], rest)
+	if err != nil || !result.Granted {
+		r.allowances.Return(call.Customer, lent)
+		return false
+	}
+	return true
 }
 
 // waitAt waits in the queue of a holder until the given instant. The outcome is queueUnreachable if the holder
--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -120,7 +120,19 @@
 			synctest.Wait()
 		}
 	}
-	calls.Wait()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		calls.Wait()
+	}()
+	for open := true; open; {
+		f.step()
+		select {
+		case <-ended:
+			open = false
+		case <-time.After(tick):
+		}
+	}
 	f.markWithinLimit(list, l)
 	return list
 }
--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -30,9 +30,12 @@
 	unplacedReturnTime = 10 * time.Second
 	// returnFraction is the part of the time that a route's requests can wait that a returning caller spends
 	// waiting in the queue.
-	returnFraction = 0.8
+	returnFraction = 0.5
 	// minReturnTime is the least time after which a caller is told to return.
 	minReturnTime = 50 * time.Millisecond
+	// shareMargin is the factor by which a route is expected to get its share later than by the recent demand, as
+	// that varies. Without it, one refusal in six comes only when the request's time has passed.
+	shareMargin = 1.15
 	// recheckTime is the longest time between two checks of whose turn it is, which changes as
 	// tokens accrue.
 	recheckTime = 50 * time.Millisecond
@@ -138,7 +141,7 @@
 		q.dropOutcome(e.ticket)
 		return true, 0
 	}
-	wait := q.estimate(s, e, slices.Index(route.entries, e), e.tokens)
+	wait := q.estimate(s, e, slices.Index(route.entries, e), q.size(e))
 	route.remove(e)
 	delete(q.byTicket, e.ticket)
 	return false, wait
@@ -236,6 +239,11 @@
 	return max(next, now.Add(time.Millisecond)), true
 }
 
+// Scarce reports whether the customer asks for more than its rate.
+func (q *Queue) Scarce() bool {
+	return q.scarce
+}
+
 // NextRoute returns the route whose turn it is, and false if nothing waits.
 func (q *Queue) NextRoute() (knapweedpulley.RouteID, bool) {
 	if e := q.head(); e != nil {
@@ -326,7 +334,7 @@
 	paid := 0.0
 	if before > r.credit {
 		// Until the route has paid, other routes use the tokens.
-		paid, lacking = (before-r.credit)/q.share(r, s), tokens
+		paid, lacking = shareMargin*(before-r.credit)/q.share(r, s), tokens
 	}
 	return durationOf(paid + accrualTime(lacking, s.Rate*(1-first)))
 }
@@ -344,24 +352,29 @@
 	return time.Duration(max(0, min(seconds, maxEstimate.Seconds())) * float64(time.Second))
 }
 
-// admissible reports whether a request at position i of its route will be granted in time, and those behind it
-// as well. While the rate is scarce, it assumes the size of the route's largest request, so that small requests
-// don't fill the room that large ones wait for.
-func (q *Queue) admissible(now knapweedpulley.Instant, s *Supply, e *entry, i int) bool {
-	r, size := e.route, e.tokens
+// size returns the size by which a request is judged. While the rate is scarce it is that of its route's largest
+// request, so that small requests don't fill the room that large ones wait for, and large ones are not told to
+// wait or to return at another time than small ones.
+func (q *Queue) size(e *entry) float64 {
 	if q.scarce {
-		size = r.largest
+		return e.route.largest
 	}
+	return e.tokens
+}
+
+// admissible reports whether a request at position i of its route will be granted in time, and those behind it
+// as well.
+func (q *Queue) admissible(now knapweedpulley.Instant, s *Supply, e *entry, i int) bool {
+	r, size := e.route, q.size(e)
 	if now.Add(q.estimate(s, e, i, size)).After(e.until) {
 		return false
 	}
 	if !q.scarce {
 		return q.othersInTime(now, s, e)
 	}
-	share := q.share(r, s)
 	before := r.tokensBefore(i) + size
 	for _, later := range r.entries[i+1:] {
-		if now.Add(durationOf((before - r.credit) / share)).After(later.key) {
+		if now.Add(q.scarceEstimate(s, r, before, later.tokens)).After(later.key) {
 			return false
 		}
 		before += later.tokens
@@ -387,11 +400,7 @@
 	r := e.route
 	r.remove(e)
 	delete(q.byTicket, e.ticket)
-	size := e.tokens
-	if q.scarce {
-		// Large requests are not told to return later than small ones.
-		size = r.largest
-	}
+	size := q.size(e)
 	due := max(
 		q.estimate(s, e, len(r.entries), size),
 		durationOf((r.placeTokens+size-max(0, r.credit))/(placeShare*q.share(r, s))),
--- a/ratequeue/route.go
+++ b/ratequeue/route.go
@@ -24,13 +24,17 @@
 	// scarceDemand is the demand, in relation to the rate, from which on a rate counts as scarce. A chance row of
 	// requests of a customer that uses three fifths of its rate stays below it.
 	scarceDemand = 1.25
+	// typicalWeight is the weight of a request in the average size of its route's requests. If demand were counted by
+	// each request's own size, a large one would raise its route's share by itself, and more large requests
+	// than small ones would be let in.
+	typicalWeight = 0.05
 	// minDemand is the demand in tokens a second that a route counts with at least, so that it has a
 	// weight from its first request on.
 	minDemand = 1.0
 	// priorityBonus is the weight that a route gets in addition for each step by which it is more urgent
 	// than the least urgent one. Without it, a route whose requests can wait less is served less,
 	// because it can't use each moment in which tokens are left.
-	priorityBonus = 0.1
+	priorityBonus = 0.05
 	// maxBonusSteps bounds the steps that count.
 	maxBonusSteps = 3
 	// reservedRequests is the number of requests of a route with less time for which others leave its tokens.
@@ -51,6 +55,8 @@
 	weight float64
 	// slowDemand is the demand over a longer time.
 	slowDemand float64
+	// typical is the average size of recent requests, by which demand is counted.
+	typical float64
 	// largest is the size of the largest recent request, patience the longest time that a recent one could
 	// wait.
 	largest  float64
@@ -77,8 +83,12 @@
 
 // record adds a request to the route's demand.
 func (r *route) record(now knapweedpulley.Instant, tokens float64) {
-	r.demand += tokens / demandTime.Seconds()
-	r.slowDemand += tokens / scarcityTime.Seconds()
+	if r.typical == 0 {
+		r.typical = tokens
+	}
+	r.typical += typicalWeight * (tokens - r.typical)
+	r.demand += r.typical / demandTime.Seconds()
+	r.slowDemand += r.typical / scarcityTime.Seconds()
 	r.largest = max(r.largest, tokens)
 	r.lastUse = now
 }
