--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -310,7 +310,7 @@
 func (q *Queue) estimate(s *Supply, e *entry, i int, tokens float64) time.Duration {
 	before := e.route.tokensBefore(i)
 	if q.scarce {
-		return q.scarceEstimate(s, e.route, before, tokens)
+		return q.outlook(s, e.route).estimate(before, tokens)
 	}
 	for _, other := range q.routes {
 		if other != e.route {
@@ -320,23 +320,35 @@
 	return durationOf(accrualTime(before+min(s.Burst, tokens)-s.Level, s.Rate))
 }
 
-// scarceEstimate returns the time after which a request with the given tokens of its route ahead of it is granted:
-// when the route has paid for those, and then its own tokens have accrued beside those of the routes whose
-// requests can wait less.
-func (q *Queue) scarceEstimate(s *Supply, r *route, before, tokens float64) time.Duration {
+// outlook is what a route can count on while the rate is scarce.
+type outlook struct {
+	supply *Supply
+	credit float64
+	// share is the rate at which the route's counter grows, accrual the rate at which tokens accrue beside those of
+	// the routes whose requests can wait less, and reserve the tokens that it leaves for these.
+	share   float64
+	accrual float64
+	reserve float64
+}
+
+func (q *Queue) outlook(s *Supply, r *route) outlook {
 	first := 0.0
 	for _, other := range q.routes {
 		if other != r && other.patience < r.patience {
 			first += other.weight / q.weight
 		}
 	}
-	lacking := min(s.Burst, tokens+q.reserve(r, s)) + before - s.Level
-	paid := 0.0
-	if before > r.credit {
+	return outlook{supply: s, credit: r.credit, share: q.share(r, s), accrual: s.Rate * (1 - first), reserve: q.reserve(r, s)}
+}
+
+// estimate returns the time after which a request with the given tokens of its route ahead of it is granted: when
+// the route has paid for those, and then its own tokens have accrued.
+func (o outlook) estimate(before, tokens float64) time.Duration {
+	if before > o.credit {
 		// Until the route has paid, other routes use the tokens.
-		paid, lacking = shareMargin*(before-r.credit)/q.share(r, s), tokens
+		return durationOf(shareMargin*(before-o.credit)/o.share + accrualTime(tokens, o.accrual))
 	}
-	return durationOf(paid + accrualTime(lacking, s.Rate*(1-first)))
+	return durationOf(accrualTime(min(o.supply.Burst, tokens+o.reserve)+before-o.supply.Level, o.accrual))
 }
 
 // accrualTime returns the time in seconds in which tokens accrue.
@@ -372,9 +384,10 @@
 	if !q.scarce {
 		return q.othersInTime(now, s, e)
 	}
+	expected := q.outlook(s, r)
 	before := r.tokensBefore(i) + size
 	for _, later := range r.entries[i+1:] {
-		if now.Add(q.scarceEstimate(s, r, before, later.tokens)).After(later.key) {
+		if now.Add(expected.estimate(before, later.tokens)).After(later.key) {
 			return false
 		}
 		before += later.tokens
@@ -400,17 +413,13 @@
 	r := e.route
 	r.remove(e)
 	delete(q.byTicket, e.ticket)
-	size := q.size(e)
-	due := max(
-		q.estimate(s, e, len(r.entries), size),
-		durationOf((r.placeTokens+size-max(0, r.credit))/(placeShare*q.share(r, s))),
-	)
+	due, latest := q.dueTime(s, e)
 	wait := max(minReturnTime, due-time.Duration(returnFraction*float64(r.patience)))
 	o := Outcome{Ticket: e.ticket, RetryAfter: wait}
 	if q.scarce {
 		o.RetryAfter = max(wait, unplacedReturnTime)
 	}
-	if _, taken := q.kept[e.fingerprint]; !taken && len(q.kept) < maxPlaces && wait <= min(maxReturnTime, returnPatience*r.patience) {
+	if _, taken := q.kept[e.fingerprint]; !taken && len(q.kept) < maxPlaces && wait <= latest {
 		o.Kept, o.RetryAfter = true, wait
 		place := &entry{
 			route: r, tokens: e.tokens, fingerprint: e.fingerprint, key: now.Add(due), until: now.Add(wait + placeTerm),
@@ -422,6 +431,25 @@
 	q.outcomes = append(q.outcomes, o)
 }
 
+// dueTime returns the time after which a place for a refused request is due, and the longest time after which its
+// caller is told to return.
+func (q *Queue) dueTime(s *Supply, e *entry) (due, latest time.Duration) {
+	r := e.route
+	if q.scarce {
+		size := q.size(e)
+		due = max(
+			q.estimate(s, e, len(r.entries), size),
+			durationOf((r.placeTokens+size-max(0, r.credit))/(placeShare*q.share(r, s))),
+		)
+		return due, min(maxReturnTime, returnPatience*r.patience)
+	}
+	before := 0.0
+	for _, other := range q.routes {
+		before += other.tokensBefore(len(other.entries))
+	}
+	return durationOf(accrualTime(before+min(s.Burst, e.tokens)-s.Level, s.Rate)), 0
+}
+
 func (q *Queue) limitEarliest(until knapweedpulley.Instant) {
 	if q.earliest == 0 || q.earliest.After(until) {
 		q.earliest = until
