--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -10,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
@@ -54,6 +53,14 @@
 	minimum    int
 	maximum    int
 	oneGateway bool
+	// faults are what happens while the load is replayed.
+	faults []fault
+}
+
+// fault happens some time after the start of a replay.
+type fault struct {
+	after time.Duration
+	do    func()
 }
 
 // loadCall is one request and what its caller got.
@@ -99,8 +106,11 @@
 	var calls sync.WaitGroup
 	var list []*loadCall
 	pause := float64(l.minimum+l.maximum) / 2 / l.rate * float64(time.Second)
-	next := time.Now()
+	next, began, faults := time.Now(), time.Now(), l.faults
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
+		for ; len(faults) > 0 && time.Since(began) >= faults[0].after; faults = faults[1:] {
+			faults[0].do()
+		}
 		f.step()
 		for ; !next.After(time.Now()); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
 			g := f.gateways[0]
@@ -329,6 +339,123 @@
 	}
 }
 
-var _ = errors.New
-var _ = slices.Sort[[]int]
-var _ = contract.QueueSlack
+// holders returns the gateways that hold the customer's contract while all gateways are listed.
+func (f *cutFleet) holders() []*cutGateway {
+	var members []knapweedpulley.Member
+	for _, g := range f.gateways {
+		members = append(members, g.member)
+	}
+	var list []*cutGateway
+	for _, m := range contract.QueueHolders(f.contract, members) {
+		list = append(list, f.byID[m.Entry])
+	}
+	return list
+}
+
+// restart replaces a gateway by one that starts. What the old one still does reaches nobody.
+func (f *cutFleet) restart(g *cutGateway) {
+	g.frozen = true
+	started := f.newGateway(g.member)
+	f.gateways[slices.Index(f.gateways, g)] = started
+	f.byID[g.member.Entry] = started
+}
+
+// servedShare returns the share of the rate that was admitted in a part of a replay.
+func (f *cutFleet) servedShare(from time.Time, d time.Duration) float64 {
+	sum := 0.0
+	for _, a := range f.admitted {
+		if !a.at.Before(from) && a.at.Before(from.Add(d)) {
+			sum += float64(a.tokens)
+		}
+	}
+	return sum / (float64(f.contract.Rate) * d.Seconds())
+}
+
+// TestScarceRateWithFaultyHolders guards against a contract that is exceeded, against a customer that is not served, and
+// against calls that wait for ever when a holder of its queues fails.
+func TestScarceRateWithFaultyHolders(t *testing.T) {
+	const faultAfter, faultTime, rest = 20 * time.Second, 12 * time.Second, 40 * time.Second
+	c := knapweedpulley.Contract{Customer: testCustomer, Rate: scarceRate, Burst: scarceRate}
+	tests := []struct {
+		name       string
+		begin, end func(f *cutFleet, holder *cutGateway)
+	}{
+		{
+			"killed and started again at once",
+			func(f *cutFleet, holder *cutGateway) { f.restart(holder) },
+			func(f *cutFleet, holder *cutGateway) { f.restart(f.byID[holder.member.Entry]) },
+		},
+		{
+			"killed and started again after it was dropped from the list",
+			func(_ *cutFleet, holder *cutGateway) { holder.frozen = true },
+			func(f *cutFleet, holder *cutGateway) { f.restart(holder) },
+		},
+		{
+			"frozen",
+			func(_ *cutFleet, holder *cutGateway) { holder.frozen = true },
+			func(_ *cutFleet, holder *cutGateway) { holder.frozen = false },
+		},
+		{
+			"cut off from all",
+			func(_ *cutFleet, holder *cutGateway) { holder.fromKeepers, holder.fromPeers = true, true },
+			func(_ *cutFleet, holder *cutGateway) { holder.fromKeepers, holder.fromPeers = false, false },
+		},
+		{
+			"cut off from the keepers",
+			func(_ *cutFleet, holder *cutGateway) { holder.fromKeepers = true },
+			func(_ *cutFleet, holder *cutGateway) { holder.fromKeepers = false },
+		},
+	}
+	for _, test := range tests {
+		for _, size := range []int{4, 27, fleetSize} {
+			t.Run(fmt.Sprintf("%s, with %d gateways", test.name, size), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newCutFleet(t, size, c, true)
+					holder, l, began := f.holders()[0], scarceLoad(false), time.Now()
+					l.faults = []fault{
+						{faultAfter, func() { test.begin(f, holder) }},
+						{faultAfter + faultTime, func() { test.end(f, holder) }},
+					}
+					f.replay(faultAfter+faultTime+rest, l)
+					during := f.servedShare(began.Add(faultAfter), faultTime)
+					after := f.servedShare(began.Add(faultAfter+faultTime+rest/2), rest/2)
+					t.Logf("served during the fault %.3f of the rate, after it %.3f", during, after)
+					is := is.New(t)
+					is.True(during >= 0.45) // the other holder goes on
+					is.True(after >= 0.9)
+					f.assertWithinContract()
+				})
+			})
+		}
+	}
+}
+
+// TestLoweredScarceRate guards against tokens that a queue grants by a contract that is no longer in force.
+func TestLoweredScarceRate(t *testing.T) {
+	const lowered, learning = 10 * time.Second, 2 * time.Second
+	for _, size := range []int{4, fleetSize} {
+		t.Run(fmt.Sprintf("with %d gateways", size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := knapweedpulley.Contract{Customer: testCustomer, Rate: scarceRate, Burst: scarceRate}
+				f := newCutFleet(t, size, c, true)
+				l, began := scarceLoad(false), time.Now()
+				low := f.contract
+				low.Rate, low.Burst = scarceRate/4, scarceRate/4
+				for i, g := range f.gateways {
+					l.faults = append(l.faults, fault{
+						lowered + learning*time.Duration(i)/time.Duration(size),
+						func() { g.allowances.Configure([]knapweedpulley.Contract{low}) },
+					})
+				}
+				f.replay(40*time.Second, l)
+				f.assertWithinContract()
+				f.contract = low
+				f.admitted = slices.DeleteFunc(f.admitted, func(a admission) bool { return a.at.Before(began.Add(lowered + learning)) })
+				f.assertWithinContract()
+				is.New(t).True(f.servedShare(began.Add(20*time.Second), 20*time.Second) >= 0.9)
+			})
+		})
+	}
+}
