--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -19,7 +19,7 @@
 	placeTerm = time.Second
 	// maxReturnTime is the longest time after which a caller is told to return to a kept place. Callers accept
 	// a third of the time that they have left, which is shorter for routes with short objectives: it is
-	// limited to returnPatience times the time that the route's requests can wait as well.
+	// limited to returnPatience times the time that the request could wait as well.
 	maxReturnTime  = 4 * time.Second
 	returnPatience = 2
 	// placeShare is the part of a route's share that kept places may use, so that newcomers are served
@@ -28,7 +28,7 @@
 	// unplacedReturnTime is the least time after which a caller without a place is told to return while the rate
 	// is scarce. If it returned sooner, it would most likely be refused again.
 	unplacedReturnTime = 10 * time.Second
-	// returnFraction is the part of the time that a route's requests can wait that a returning caller spends
+	// returnFraction is the part of the time that a request can wait that a returning caller spends
 	// waiting in the queue.
 	returnFraction = 0.5
 	// minReturnTime is the least time after which a caller is told to return.
@@ -167,7 +167,7 @@
 	route.lastUse = now
 	e := &entry{
 		ticket: ticket, route: route, tokens: float64(r.Tokens), fingerprint: r.Fingerprint,
-		key: r.LatestStart, until: r.LatestStart,
+		key: r.LatestStart, until: r.LatestStart, patience: r.LatestStart.Sub(now),
 	}
 	if len(q.byTicket) >= maxWaiting {
 		wait := q.estimate(s, e, len(route.entries), e.tokens)
@@ -414,7 +414,7 @@
 	r.remove(e)
 	delete(q.byTicket, e.ticket)
 	due, latest := q.dueTime(s, e)
-	wait := max(minReturnTime, due-time.Duration(returnFraction*float64(r.patience)))
+	wait := max(minReturnTime, due-time.Duration(returnFraction*float64(e.patience)))
 	o := Outcome{Ticket: e.ticket, RetryAfter: wait}
 	if q.scarce {
 		o.RetryAfter = max(wait, unplacedReturnTime)
@@ -422,7 +422,8 @@
 	if _, taken := q.kept[e.fingerprint]; !taken && len(q.kept) < maxPlaces && wait <= latest {
 		o.Kept, o.RetryAfter = true, wait
 		place := &entry{
-			route: r, tokens: e.tokens, fingerprint: e.fingerprint, key: now.Add(due), until: now.Add(wait + placeTerm),
+			route: r, tokens: e.tokens, fingerprint: e.fingerprint, patience: e.patience,
+			key: now.Add(due), until: now.Add(wait + placeTerm),
 		}
 		r.insert(place)
 		q.kept[e.fingerprint] = place
@@ -441,7 +442,7 @@
 			q.estimate(s, e, len(r.entries), size),
 			durationOf((r.placeTokens+size-max(0, r.credit))/(placeShare*q.share(r, s))),
 		)
-		return due, min(maxReturnTime, returnPatience*r.patience)
+		return due, min(maxReturnTime, returnPatience*e.patience)
 	}
 	before := 0.0
 	for _, other := range q.routes {
--- a/ratequeue/route.go
+++ b/ratequeue/route.go
@@ -21,9 +21,10 @@
 	// scarcityTime is the time constant of the average of the whole demand by which a rate counts as scarce. In it
 	// a small customer sends several requests, so that a chance row of them isn't taken for scarcity.
 	scarcityTime = 15 * time.Second
-	// scarceDemand is the demand, in relation to the rate, from which on a rate counts as scarce. A chance row of
-	// requests of a customer that uses three fifths of its rate stays below it.
-	scarceDemand = 1.25
+	// scarceDeviation is the number of standard deviations, for independent arrivals, by which the average of the
+	// demand exceeds the rate when that counts as scarce. With it a chance row of requests of a small customer
+	// that uses three fifths of its rate is not taken for scarcity.
+	scarceDeviation = 1.25
 	// typicalWeight is the weight of a request in the average size of its route's requests. If demand were counted by
 	// each request's own size, a large one would raise its route's share by itself, and more large requests
 	// than small ones would be let in.
@@ -75,6 +76,8 @@
 	fingerprint knapweedpulley.Fingerprint
 	// key is the instant by which the request is to be granted, by which entries are ordered.
 	key knapweedpulley.Instant
+	// patience is how long the request could wait when it came.
+	patience time.Duration
 	// until is when the request is refused, or when the place expires.
 	until knapweedpulley.Instant
 	// setAside is set once the tokens of a place were taken.
@@ -155,7 +158,7 @@
 		least = max(least, r.priority)
 	}
 	q.weight, q.demand = 0, 0
-	slowDemand := 0.0
+	slowDemand, typical := 0.0, 0.0
 	credits := 0.0
 	for _, r := range q.routes {
 		steps := min(maxBonusSteps, least-r.priority)
@@ -163,9 +166,11 @@
 		q.weight += r.weight
 		q.demand += r.demand
 		slowDemand += r.slowDemand
+		typical = max(typical, r.typical)
 		credits += r.credit
 	}
-	q.scarce = slowDemand > scarceDemand*s.Rate*float64(s.Parts)
+	rate := s.Rate * float64(s.Parts)
+	q.scarce = slowDemand > rate+scarceDeviation*math.Sqrt(rate*typical/(2*scarcityTime.Seconds()))
 	change := s.Level - credits
 	for _, r := range q.routes {
 		share := r.weight / q.weight
