--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"slices"
 	"sync"
@@ -10,10 +11,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/contract"
+	"github.com/knapweedpulley/knapweedpulley/gateway"
+	"github.com/knapweedpulley/knapweedpulley/logbook"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
 
 const (
@@ -459,3 +464,108 @@
 		})
 	}
 }
+
+// silentHolder is a link to a holder that takes calls into its queue and never answers them, and to one that grants
+// everything but states a longer wait.
+type silentHolder struct {
+	fakeAllowanceLink
+	mu     sync.Mutex
+	asked  knapweedpulley.Reservation
+	frozen bool
+}
+
+// Borrow implements knapweedpulley.AllowanceLink.
+func (*silentHolder) Borrow(
+	context.Context, knapweedpulley.Member, knapweedpulley.CustomerID, knapweedpulley.Tokens,
+) (knapweedpulley.Tokens, error) {
+	return 0, nil
+}
+
+// freezes reports whether the holder doesn't answer.
+func (l *silentHolder) freezes(at knapweedpulley.Member, r knapweedpulley.Reservation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.Entry != "silent" || r.MaxWait == 0 {
+		return at.Entry == "silent" && l.frozen
+	}
+	l.asked, l.frozen = r, true
+	return true
+}
+
+func (l *silentHolder) Reserve(
+	ctx context.Context, at knapweedpulley.Member, r knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	switch {
+	case l.freezes(at, r):
+		<-ctx.Done()
+		return knapweedpulley.ReservationResult{}, ctx.Err()
+	case r.MaxWait == 0 && at.Entry == "silent":
+		return knapweedpulley.ReservationResult{RetryAfter: time.Second}, nil
+	case r.MaxWait == 0:
+		return knapweedpulley.ReservationResult{RetryAfter: 2 * time.Second}, nil
+	default:
+		return knapweedpulley.ReservationResult{Granted: true}, nil
+	}
+}
+
+// newQueueLimiter returns the rate limiter of a gateway that holds no part of the contract.
+func newQueueLimiter(link knapweedpulley.AllowanceLink) *gateway.RateLimiter {
+	self := knapweedpulley.Member{Entry: "asking"}
+	members := []knapweedpulley.Member{self, {Entry: "silent"}, {Entry: "other"}}
+	c := knapweedpulley.Contract{Customer: testCustomer, Rate: 1, Burst: 1}
+	for n := 0; slices.Contains(contract.QueueHolders(c, members), members[0]); n++ {
+		// The holders are those with the highest hashes.
+		self.Entry = knapweedpulley.EntryID(fmt.Sprintf("asking-%d", n))
+		members[0] = self
+	}
+	a := contract.NewAllowances(fake.Clock{}, self.Entry, 3)
+	a.EnableQueues()
+	a.Configure([]knapweedpulley.Contract{c})
+	a.Assign(members)
+	return gateway.NewRateLimiter(a, link, gateway.NewPeers(self), fake.Clock{}, logbook.New(io.Discard, log.InfoLevel, "test", "test"))
+}
+
+// TestCallLeavesFrozenHolder guards against calls that wait at a frozen holder until their time has passed.
+func TestCallLeavesFrozenHolder(t *testing.T) {
+	inBubble("a call goes to the other holder soon after the first one has frozen", t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		_, err := newQueueLimiter(&silentHolder{}).Acquire(t.Context(), knapweedpulley.Reservation{
+			Customer: testCustomer, Tokens: 1, Route: "r", MaxWait: 8 * time.Second,
+		}, 0)
+		is.NoErr(err)
+		is.True(time.Since(began) <= 2*time.Second)
+	})
+}
+
+// TestCallStatesItsWait guards against calls that wait for their tokens for longer than their objective, the time of
+// their first answer or their deadline leaves, or that can't be recognized when they return.
+func TestCallStatesItsWait(t *testing.T) {
+	for _, test := range []struct {
+		name                     string
+		objective, timeout, want time.Duration
+	}{
+		{"the objective without the time for the first answer", 8 * time.Second, time.Minute, 7800 * time.Millisecond},
+		{"the time until the deadline", 8 * time.Second, 2 * time.Second, 1980 * time.Millisecond},
+		{"a third of a very short objective", 240 * time.Millisecond, time.Minute, 80 * time.Millisecond},
+	} {
+		inBubble(test.name, t, func(t *testing.T) {
+			is := is.New(t)
+			whole, _ := wholeDeployment()
+			d := whole.withAccounts(1)
+			d.route.LatencyTarget, d.route.Timeout = test.objective, time.Minute
+			l := &silentHolder{}
+			d.rateLimiter = newQueueLimiter(l)
+			g := d.newGateway(t)
+			call := newCall()
+			withKey(call)
+			call.Fingerprint, call.Timeout = 7, test.timeout
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_ = g.Serve(ctx, call, &recordedAnswer{})
+			is.Equal(l.asked.MaxWait, test.want)
+			is.Equal(l.asked.Fingerprint, knapweedpulley.Fingerprint(7))
+			is.Equal(l.asked.Priority, firstPriority)
+		})
+	}
+}
--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -36,6 +36,9 @@
 	// shareMargin is the factor by which a route is expected to get its share later than by the recent demand, as
 	// that varies. Without it, one refusal in six comes only when the request's time has passed.
 	shareMargin = 1.15
+	// minAccrual is the part of the rate at which a request's own tokens accrue at least. The routes that go before it
+	// have not always used less than their shares.
+	minAccrual = 0.5
 	// recheckTime is the longest time between two checks of whose turn it is, which changes as
 	// tokens accrue.
 	recheckTime = 50 * time.Millisecond
@@ -338,7 +341,7 @@
 			first += other.weight / q.weight
 		}
 	}
-	return outlook{supply: s, credit: r.credit, share: q.share(r, s), accrual: s.Rate * (1 - first), reserve: q.reserve(r, s)}
+	return outlook{supply: s, credit: r.credit, share: q.share(r, s), accrual: s.Rate * max(minAccrual, 1-first), reserve: q.reserve(r, s)}
 }
 
 // estimate returns the time after which a request with the given tokens of its route ahead of it is granted: when
--- a/ratequeue/route.go
+++ b/ratequeue/route.go
@@ -24,7 +24,7 @@
 	// scarceDeviation is the number of standard deviations, for independent arrivals, by which the average of the
 	// demand exceeds the rate when that counts as scarce. With it a chance row of requests of a small customer
 	// that uses three fifths of its rate is not taken for scarcity.
-	scarceDeviation = 2
+	scarceDeviation = 3
 	// typicalWeight is the weight of a request in the average size of its route's requests. If demand were counted by
 	// each request's own size, a large one would raise its route's share by itself, and more large requests
 	// than small ones would be let in.
