--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -35,10 +35,10 @@
 	// speed.
 	RemoteLoads int `json:"remoteLoads"`
 	// MemoryMB is the memory that the process may use, in millions of bytes.
-	MemoryMB int64  `json:"memoryMb"`
+	MemoryMB int64 `json:"memoryMb"`
 	// Contracts lists the rules of the platform that the gateway has to keep beside the usual ones.
 	Contracts []string `json:"contracts"`
-	LogLevel string `json:"logLevel"`
+	LogLevel  string   `json:"logLevel"`
 }
 
 // Check implements knapweedpulley.Checker.
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -36,7 +36,7 @@
 	admission installation.Admission
 	charge    charge
 	// queueVisit tells how the call last got its tokens in a queue, or why not.
-	queueVisit queueVisit
+	queueVisit QueueVisit
 	deadline   knapweedpulley.Instant
 	avoid      knapweedpulley.Set[knapweedpulley.EndpointID]
 	// possibleRuns counts the attempts in which the call may have run, refusals the attempts
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -39,7 +39,7 @@
 }
 
 // recordQueueVisit counts a call that asked for its tokens in a queue, by its outcome, and the time that it waited.
-func (m *Meter) recordQueueVisit(v queueVisit) {
+func (m *Meter) recordQueueVisit(v QueueVisit) {
 	m.scope.Tagged(map[string]string{"outcome": v.outcome}).Counter("rate_queue").Inc(1)
 	if v.waited > 0 {
 		m.scope.Histogram("rate_queue_wait", latencyBuckets()).RecordDuration(v.waited)
--- a/gateway/ratecut_test.go
+++ b/gateway/ratecut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -69,6 +70,8 @@
 	keepers  []*cutKeeper
 	gateways []*cutGateway
 	contract knapweedpulley.Contract
+	// customers each have such a contract.
+	customers []knapweedpulley.CustomerID
 	// queues is set if calls queue for the customer's rate.
 	queues   bool
 	byID     map[knapweedpulley.EntryID]*cutGateway
@@ -78,11 +81,13 @@
 	fingerprint knapweedpulley.Fingerprint
 }
 
-func newCutFleet(t *testing.T, size int, c knapweedpulley.Contract, queues bool) *cutFleet {
+func newCutFleet(
+	t *testing.T, size int, c knapweedpulley.Contract, queues bool, more ...knapweedpulley.CustomerID,
+) *cutFleet {
 	t.Helper()
 	f := &cutFleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), byID: make(map[knapweedpulley.EntryID]*cutGateway),
-		contract: c, queues: queues,
+		contract: c, customers: append([]knapweedpulley.CustomerID{c.Customer}, more...), queues: queues,
 	}
 	if queues {
 		f.contract.Slack = contract.QueueSlack
@@ -131,7 +136,13 @@
 	if f.queues {
 		g.allowances.EnableQueues()
 	}
-	g.allowances.Configure([]knapweedpulley.Contract{f.contract})
+	var contracts []knapweedpulley.Contract
+	for _, customer := range f.customers {
+		c := f.contract
+		c.Customer = customer
+		contracts = append(contracts, c)
+	}
+	g.allowances.Configure(contracts)
 	g.peers = gateway.NewPeers(m)
 	g.limiter = gateway.NewRateLimiter(g.allowances, &cutLink{f, g}, g.peers, fake.Clock{},
 		logbook.New(io.Discard, log.InfoLevel, "test", "test"))
@@ -277,14 +288,19 @@
 	if _, err := g.limiter.Acquire(f.t.Context(), knapweedpulley.Reservation{
 		Customer: testCustomer, Tokens: n, Route: "play", MaxWait: 600 * time.Millisecond, Fingerprint: f.nextFingerprint(),
 	}, 200*time.Millisecond); err == nil {
-		f.admit(n)
+		f.admit(testCustomer, n)
 	}
 }
 
-func (f *cutFleet) admit(n knapweedpulley.Tokens) {
+func (f *cutFleet) admit(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.admitted = append(f.admitted, admission{time.Now(), n})
+	f.admitted = append(f.admitted, admission{time.Now(), n, customer})
+}
+
+// admittedFor returns what was admitted for one customer.
+func (f *cutFleet) admittedFor(customer knapweedpulley.CustomerID) []admission {
+	return slices.DeleteFunc(slices.Clone(f.admitted), func(a admission) bool { return a.customer != customer })
 }
 
 func (f *cutFleet) nextFingerprint() knapweedpulley.Fingerprint {
@@ -309,13 +325,16 @@
 func (f *cutFleet) assertWithinContract() {
 	f.t.Helper()
 	limit := (float64(f.contract.Rate)*quotaWindow.Seconds()+float64(f.contract.Burst))*(1+quotaOverage) + quotaSlack
-	most, sum, first := 0.0, 0.0, 0
-	for _, a := range f.admitted {
-		sum += float64(a.tokens)
-		for ; a.at.Sub(f.admitted[first].at) >= quotaWindow; first++ {
-			sum -= float64(f.admitted[first].tokens)
+	most := 0.0
+	for _, customer := range f.customers {
+		admitted, sum, first := f.admittedFor(customer), 0.0, 0
+		for _, a := range admitted {
+			sum += float64(a.tokens)
+			for ; a.at.Sub(admitted[first].at) >= quotaWindow; first++ {
+				sum -= float64(admitted[first].tokens)
+			}
+			most = max(most, sum)
 		}
-		most = max(most, sum)
 	}
 	f.t.Logf("most tokens in a window: %.0f of %.0f", most, limit)
 	is.New(f.t).True(most <= limit)
--- a/gateway/ratefleet_test.go
+++ b/gateway/ratefleet_test.go
@@ -52,6 +52,8 @@
 type admission struct {
 	at     time.Time
 	tokens knapweedpulley.Tokens
+	// customer is empty if there is only one.
+	customer knapweedpulley.CustomerID
 }
 
 func newRateFleet(t *testing.T, size int) *rateFleet {
@@ -134,7 +136,7 @@
 		sent++
 		if f.limiters[m.Entry].Charge(f.t.Context(), testCustomer, n, 200*time.Millisecond) == nil {
 			admitted++
-			f.admitted = append(f.admitted, admission{time.Now(), n})
+			f.admitted = append(f.admitted, admission{at: time.Now(), tokens: n})
 		}
 		time.Sleep(time.Until(next))
 	}
--- a/gateway/ratequeue.go
+++ b/gateway/ratequeue.go
@@ -36,8 +36,9 @@
 // errNoHolder is the error of a reservation that no holder has answered.
 var errNoHolder = errors.New("no holder of the contract answers")
 
-// queueVisit tells how a call got its tokens, for its log line.
-type queueVisit struct {
+// QueueVisit tells how a call got its tokens in a queue, or why not, for logs and metrics. It is zero if there was no
+// queue to ask.
+type QueueVisit struct {
 	holder  knapweedpulley.EntryID
 	waited  time.Duration
 	outcome string
@@ -48,7 +49,7 @@
 // *knapweedpulley.Refusal.
 func (r *RateLimiter) Acquire(
 	ctx context.Context, call knapweedpulley.Reservation, chargeWait time.Duration,
-) (queueVisit, error) {
+) (QueueVisit, error) {
 	visit, err := r.reserve(ctx, call)
 	if errors.Is(err, errNoHolder) {
 		err = r.Charge(ctx, call.Customer, call.Tokens, chargeWait)
@@ -57,24 +58,24 @@
 }
 
 // reserve takes the tokens for a call in a queue. It returns errNoHolder if there is no queue to ask.
-func (r *RateLimiter) reserve(ctx context.Context, call knapweedpulley.Reservation) (queueVisit, error) {
+func (r *RateLimiter) reserve(ctx context.Context, call knapweedpulley.Reservation) (QueueVisit, error) {
 	list, queues := r.allowances.Queues(call.Customer)
 	if !queues {
-		return queueVisit{}, errNoHolder
+		return QueueVisit{}, errNoHolder
 	}
 	self := r.group.Self().Entry
 	holding := slices.ContainsFunc(list, func(m knapweedpulley.Member) bool { return m.Entry == self })
 	// A gateway without a part may have tokens of a call that didn't run.
 	if !holding && r.allowances.Take(call.Customer, call.Tokens, 0).Taken {
-		return queueVisit{holder: self, outcome: queueGranted}, nil
+		return QueueVisit{holder: self, outcome: queueGranted}, nil
 	}
 	until := r.clock.Now().Add(call.MaxWait)
 	holders, wait, granted := r.probe(ctx, r.nearestFirst(list), call)
 	if granted != "" {
-		return queueVisit{holder: granted, outcome: queueGranted}, nil
+		return QueueVisit{holder: granted, outcome: queueGranted}, nil
 	}
 	if len(holders) > 1 && r.combine(ctx, holders, call, wait) {
-		return queueVisit{holder: holders[0].Entry, outcome: queueGranted}, nil
+		return QueueVisit{holder: holders[0].Entry, outcome: queueGranted}, nil
 	}
 	for _, h := range holders {
 		visit, err := r.waitAt(ctx, h, call, until)
@@ -83,9 +84,9 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return queueVisit{outcome: queueLeft}, leftWhileWaiting()
+		return QueueVisit{outcome: queueLeft}, leftWhileWaiting()
 	}
-	return queueVisit{outcome: queueUnreachable}, errNoHolder
+	return QueueVisit{outcome: queueUnreachable}, errNoHolder
 }
 
 // nearestFirst returns the holders that answer: the gateway itself, those of its zone, then the others.
@@ -105,7 +106,9 @@
 	r.mu.Lock()
 	holders := slices.DeleteFunc(slices.Clone(list), func(m knapweedpulley.Member) bool { return r.silentUntil[m.Entry].After(now) })
 	r.mu.Unlock()
-	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+	rand.Shuffle(len(holders), func(i, j int) { //nolint:gosec // The order is not security-relevant.
+		holders[i], holders[j] = holders[j], holders[i]
+	})
 	slices.SortStableFunc(holders, func(m, n knapweedpulley.Member) int { return cmp.Compare(distance(m), distance(n)) })
 	return holders
 }
@@ -171,12 +174,12 @@
 // doesn't answer or has no queue any more.
 func (r *RateLimiter) waitAt(
 	ctx context.Context, h knapweedpulley.Member, call knapweedpulley.Reservation, until knapweedpulley.Instant,
-) (queueVisit, error) {
+) (QueueVisit, error) {
 	began := r.clock.Now()
 	// A wait that is not zero keeps a place if the call is refused.
 	call.MaxWait = max(1, until.Sub(began))
 	result, err := r.waitWatched(ctx, h, call)
-	visit := queueVisit{holder: h.Entry, waited: r.clock.Now().Sub(began)}
+	visit := QueueVisit{holder: h.Entry, waited: r.clock.Now().Sub(began)}
 	switch {
 	case err == nil && result.Granted:
 		visit.outcome = queueWaited
--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -70,24 +70,25 @@
 
 // loadCall is one request and what its caller got.
 type loadCall struct {
-	at      time.Time
-	route   int
-	tokens  knapweedpulley.Tokens
-	first   bool
-	second  bool
-	came    bool
-	waited  time.Duration
-	refusal time.Duration
+	customer knapweedpulley.CustomerID
+	at       time.Time
+	route    int
+	tokens   knapweedpulley.Tokens
+	first    bool
+	second   bool
+	came     bool
+	waited   time.Duration
+	refusal  time.Duration
 	// returnAfter is the Retry-After of the first refusal.
 	returnAfter time.Duration
 	withinLimit bool
 }
 
-// markWithinLimit marks the calls that came when the whole contract, as one bucket that was charged for all admitted
-// calls, had their tokens within their objective.
-func (f *cutFleet) markWithinLimit(calls []*loadCall, l load) {
+// markWithinLimit marks the calls of a customer that came when its whole contract, as one bucket that was charged for
+// all admitted calls, had their tokens within their objective.
+func (f *cutFleet) markWithinLimit(customer knapweedpulley.CustomerID, calls []*loadCall, l load) {
 	rate, burst := float64(f.contract.Rate), float64(f.contract.Burst)
-	level, at, next := burst, time.Time{}, 0
+	level, at, admitted := burst, time.Time{}, f.admittedFor(customer)
 	advance := func(now time.Time) {
 		if !at.IsZero() {
 			level = min(burst, level+rate*now.Sub(at).Seconds())
@@ -95,9 +96,12 @@
 		at = now
 	}
 	for _, c := range calls {
-		for ; next < len(f.admitted) && f.admitted[next].at.Before(c.at); next++ {
-			advance(f.admitted[next].at)
-			level -= float64(f.admitted[next].tokens)
+		if c.customer != customer {
+			continue
+		}
+		for ; len(admitted) > 0 && admitted[0].at.Before(c.at); admitted = admitted[1:] {
+			advance(admitted[0].at)
+			level -= float64(admitted[0].tokens)
 		}
 		advance(c.at)
 		wait := l.routes[c.route].objective - firstAnswerTime
@@ -110,7 +114,7 @@
 	f.t.Helper()
 	var calls sync.WaitGroup
 	var list []*loadCall
-	pause := float64(l.minimum+l.maximum) / 2 / l.rate * float64(time.Second)
+	pause := float64(l.minimum+l.maximum) / 2 / (l.rate * float64(len(f.customers))) * float64(time.Second)
 	next, began, faults := time.Now(), time.Now(), l.faults
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
 		for ; len(faults) > 0 && time.Since(began) >= faults[0].after; faults = faults[1:] {
@@ -126,7 +130,7 @@
 				continue
 			}
 			c := &loadCall{
-				at:    time.Now(),
+				at: time.Now(), customer: f.customers[f.random.IntN(len(f.customers))],
 				route: f.random.IntN(len(l.routes)), tokens: knapweedpulley.Tokens(l.minimum + f.random.IntN(l.maximum-l.minimum+1)),
 			}
 			list = append(list, c)
@@ -148,7 +152,9 @@
 		case <-time.After(tick):
 		}
 	}
-	f.markWithinLimit(list, l)
+	for _, customer := range f.customers {
+		f.markWithinLimit(customer, list, l)
+	}
 	return list
 }
 
@@ -156,11 +162,11 @@
 func (f *cutFleet) call(g *cutGateway, c *loadCall, l load, fingerprint knapweedpulley.Fingerprint) {
 	r := l.routes[c.route]
 	began := time.Now()
-	err := f.acquire(g, r, c.tokens, fingerprint)
+	err := f.acquire(g, r, c, fingerprint)
 	c.waited = time.Since(began)
 	c.first = err == nil
 	if c.first {
-		f.admit(c.tokens)
+		f.admit(c.customer, c.tokens)
 		return
 	}
 	c.refusal, c.returnAfter = c.waited, knapweedpulley.RefusalOf(err, knapweedpulley.CodeInternal).RetryAfter
@@ -175,16 +181,16 @@
 		again = f.gateways[f.random.IntN(len(f.gateways))]
 		f.mu.Unlock()
 	}
-	if c.second = !again.frozen && f.acquire(again, r, c.tokens, fingerprint) == nil; c.second {
-		f.admit(c.tokens)
+	if c.second = !again.frozen && f.acquire(again, r, c, fingerprint) == nil; c.second {
+		f.admit(c.customer, c.tokens)
 	}
 }
 
-func (f *cutFleet) acquire(g *cutGateway, r loadRoute, n knapweedpulley.Tokens, fingerprint knapweedpulley.Fingerprint) error {
+func (f *cutFleet) acquire(g *cutGateway, r loadRoute, c *loadCall, fingerprint knapweedpulley.Fingerprint) error {
 	ctx, cancel := context.WithTimeout(f.t.Context(), r.timeout)
 	defer cancel()
 	_, err := g.limiter.Acquire(ctx, knapweedpulley.Reservation{
-		Customer: testCustomer, Tokens: n, Route: r.id, Priority: r.priority, MaxWait: r.objective - firstAnswerTime,
+		Customer: c.customer, Tokens: c.tokens, Route: r.id, Priority: r.priority, MaxWait: r.objective - firstAnswerTime,
 		Fingerprint: fingerprint,
 	}, r.objective/3)
 	return err
@@ -255,15 +261,15 @@
 // withQueueFleets runs a test in a fleet with queues and in one without, and passes it what both got.
 func withQueueFleets(
 	name string, t *testing.T, c knapweedpulley.Contract, play func(f *cutFleet) []*loadCall,
-	check func(t *testing.T, f *cutFleet, queued, charged []*loadCall),
+	check func(t *testing.T, f *cutFleet, queued, charged []*loadCall), more ...knapweedpulley.CustomerID,
 ) {
 	t.Helper()
 	for _, size := range []int{4, 22, 27, fleetSize} {
 		t.Run(fmt.Sprintf("%s, with %d gateways", name, size), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				charged := play(newCutFleet(t, size, c, false))
-				f := newCutFleet(t, size, c, true)
+				charged := play(newCutFleet(t, size, c, false, more...))
+				f := newCutFleet(t, size, c, true, more...)
 				check(t, f, play(f), charged)
 			})
 		})
@@ -298,8 +304,8 @@
 	}
 }
 
-// TestScarceRateIsShared guards against a customer of which some routes or large requests are refused in favour of
-// others, and against refusals that come late or tell a time at which the caller is refused again.
+// TestScarceRateIsShared guards against a customer of which some routes or large requests are passed over for others,
+// and against refusals that come late or tell a time at which the caller is refused again.
 func TestScarceRateIsShared(t *testing.T) {
 	c := knapweedpulley.Contract{Customer: testCustomer, Rate: scarceRate, Burst: scarceRate}
 	for _, one := range []bool{false, true} {
@@ -325,13 +331,14 @@
 
 func everyCall(*loadCall) bool { return true }
 
-// TestSmallCustomerIsNotRefused guards against refusals of a customer within its rate because the part of the rate
-// at the gateway where it calls is smaller than a request.
-func TestSmallCustomerIsNotRefused(t *testing.T) {
+// TestSmallCustomersAreNotRefused guards against refusals of customers within their rates because the part of a rate at
+// the gateway where they call is smaller than a request. There are six customers, for so many calls that one may
+// be refused.
+func TestSmallCustomersAreNotRefused(t *testing.T) {
 	c := knapweedpulley.Contract{Customer: testCustomer, Rate: calmRate, Burst: calmRate}
 	for _, one := range []bool{false, true} {
 		l := load{rate: calmShare * calmRate, routes: loadRoutes(), minimum: 1600, maximum: 4700, oneGateway: one}
-		play := func(f *cutFleet) []*loadCall { return f.replay(10*time.Minute, l) }
+		play := func(f *cutFleet) []*loadCall { return f.replay(6*time.Minute, l) }
 		withQueueFleets("callers "+gatewaysOf(one), t, c, play, func(t *testing.T, f *cutFleet, queued, charged []*loadCall) {
 			report(t, "feature off", charged, l)
 			report(t, "feature on", queued, l)
@@ -340,7 +347,7 @@
 				off.refusedWithinLimit, off.calls, on.refusedWithinLimit, on.calls)
 			is.New(t).True(float64(on.refusedWithinLimit) <= 0.001*float64(on.calls))
 			f.assertWithinContract()
-		})
+		}, "b", "c", "d", "e", "f")
 	}
 }
 
@@ -468,7 +475,6 @@
 // silentHolder is a link to a holder that takes calls into its queue and never answers them, and to one that grants
 // everything but states a longer wait.
 type silentHolder struct {
-	fakeAllowanceLink
 	mu     sync.Mutex
 	asked  knapweedpulley.Reservation
 	frozen bool
