--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -136,8 +136,7 @@
 	e.ticket = q.last
 	route.insert(e)
 	q.byTicket[e.ticket] = e
-	if !q.scarce || s.Level >= min(s.Burst, route.largest+q.reserve(route, s)) {
-		// Otherwise small requests would use the tokens that large ones wait for.
+	if q.mayProbe(now, s, e) {
 		q.dispatch(s)
 	}
 	if _, waiting := q.byTicket[e.ticket]; !waiting {
@@ -150,6 +149,15 @@
 	return false, wait
 }
 
+// mayProbe reports whether a request may be granted without waiting. While the rate is scarce it has to find the tokens
+// for its route's largest request, because small requests would use those that large ones wait for otherwise.
+func (q *Queue) mayProbe(now knapweedpulley.Instant, s *Supply, e *entry) bool {
+	if q.scarce {
+		return s.Level >= min(s.Burst, e.route.largest+q.reserve(e.route, s))
+	}
+	return q.othersInTime(now, s, e)
+}
+
 // dropOutcome removes the outcome of a request that is answered in another way.
 func (q *Queue) dropOutcome(t Ticket) {
 	q.outcomes = slices.DeleteFunc(q.outcomes, func(o Outcome) bool { return o.Ticket == t })
