Grant what waits for a scarce rate by its latest start alone

Admission keeps routes to their shares; without the order by counters and by patience the shares are the same. Tests check that sizes get the same share and that set-aside tokens are used.

--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -94,8 +94,7 @@
 	// weight and demand are the sums over all routes.
 	weight float64
 	demand float64
-	// scarce is set while the customer asks for more than its rate. Otherwise requests are granted in the order
-	// of their latest starts, whatever their route.
+	// scarce is set while the customer asks for more than its rate. Otherwise requests are let in whatever their route.
 	scarce bool
 }
 
@@ -263,37 +262,16 @@
 	return "", false
 }
 
-// head returns the entry whose turn it is: the one with the earliest latest start. While the rate is scarce, it is
-// the first one of the route whose requests can wait least among those that have not used their share, or if all
-// have, that of the route which is least ahead of it.
+// head returns the entry whose turn it is, which is the one with the earliest latest start. Which requests are let in
+// keeps the routes to their shares.
 func (q *Queue) head() *entry {
-	var first, owed *entry
-	most := 0.0
+	var first *entry
 	for _, r := range q.routes {
-		if len(r.entries) == 0 {
-			continue
-		}
-		e := r.entries[0]
-		if (r.credit > 0 || !q.scarce) && (first == nil || q.precedes(e, first)) {
-			first = e
+		if len(r.entries) > 0 && (first == nil || first.key.After(r.entries[0].key)) {
+			first = r.entries[0]
 		}
-		if relative := r.credit / r.weight; owed == nil || relative > most {
-			owed, most = e, relative
-		}
-	}
-	if first != nil {
-		return first
-	}
-	return owed
-}
-
-// precedes reports whether the first request of a route goes before that of another one. The order by patience lets
-// a route use the tokens that the routes with more time leave for it.
-func (q *Queue) precedes(a, b *entry) bool {
-	if q.scarce && a.route.patience != b.route.patience {
-		return a.route.patience < b.route.patience
 	}
-	return b.key.After(a.key)
+	return first
 }
 
 // need returns the level at which a request is granted. One that is larger than the burst is granted when the
--- a/ratequeue/queue_test.go
+++ b/ratequeue/queue_test.go
@@ -1,6 +1,8 @@
 package ratequeue_test
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -160,15 +162,32 @@
 		h.pass(2 * time.Second)
 		is.New(t).True(ticket == 0 || h.ended[ticket].Granted)
 	})
-	t.Run("a place ends if its caller doesn't return, and its tokens are put back", func(t *testing.T) {
+	t.Run("a place ends if its caller doesn't return", func(t *testing.T) {
 		is := is.New(t)
 		h := newHolder(t)
 		_, o := refused(h)
 		h.pass(o.RetryAfter + 1100*time.Millisecond)
 		_, places := h.queue.Waiting()
 		is.Equal(places, 0)
-		h.pass(10 * time.Second)
-		is.Equal(h.supply.Level, h.supply.Burst)
+	})
+	t.Run("the tokens of callers that don't return are granted to others", func(t *testing.T) {
+		h := newHolder(t)
+		h.overload("a", 2*time.Second)
+		before, tickets := len(h.ended), 0
+		for range 1200 {
+			if h.ask("a", 1, 400, 2*time.Second) == 0 {
+				tickets++
+			}
+			h.pass(50 * time.Millisecond)
+		}
+		granted := 0
+		for _, o := range h.ended {
+			if o.Granted {
+				granted++
+			}
+		}
+		is.New(t).True(before > 0)
+		is.New(t).True(float64(granted*400) >= 0.97*75*1000) // in the 75 s altogether
 	})
 	t.Run("the number of places is bounded", func(t *testing.T) {
 		h := newHolder(t)
@@ -221,4 +240,28 @@
 			is.True(urgent < 1.3*patient)
 		}
 	})
+	t.Run("small and large requests of a route get the same share", func(t *testing.T) {
+		is := is.New(t)
+		h, random := newHolder(t), rand.New(rand.NewPCG(1, 2))
+		granted, asked := map[knapweedpulley.Tokens]int{}, map[knapweedpulley.Tokens]int{}
+		tickets := map[ratequeue.Ticket]knapweedpulley.Tokens{}
+		for range 6000 {
+			n := knapweedpulley.Tokens(100 + 800*random.IntN(2))
+			asked[n]++
+			if ticket := h.ask(knapweedpulley.RouteID([]string{"a", "b"}[random.IntN(2)]), 1, n, 8*time.Second); ticket != 0 {
+				tickets[ticket] = n
+			} else {
+				granted[n]++
+			}
+			h.pass(200 * time.Millisecond)
+		}
+		for ticket, n := range tickets {
+			if h.ended[ticket].Granted {
+				granted[n]++
+			}
+		}
+		small, large := float64(granted[100])/float64(asked[100]), float64(granted[900])/float64(asked[900])
+		t.Logf("small %.3f, large %.3f", small, large)
+		is.True(math.Abs(small-large) <= 0.05)
+	})
 }
