--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -38,8 +38,10 @@
 	// more requests. Evacuated zones are followed only if it is above zero.
 	EvacuationTime settings.Duration `json:"evacuationTime"`
 	// MemoryMB is the memory that the process may use, in millions of bytes.
-	MemoryMB int64  `json:"memoryMb"`
-	LogLevel string `json:"logLevel"`
+	MemoryMB int64 `json:"memoryMb"`
+	// Contracts lists the rules of the platform that the gateway has to keep beside the usual ones.
+	Contracts []string `json:"contracts"`
+	LogLevel  string   `json:"logLevel"`
 }
 
 // Check implements knapweedpulley.Checker.
--- a/cmd/gateway/settings_test.go
+++ b/cmd/gateway/settings_test.go
@@ -31,6 +31,7 @@
 		"{{listen.front|json}}", `"10.0.0.1:8221"`, "{{listen.ready|json}}", `"10.0.0.1:8224"`,
 		"{{portRange.0|json}}", "7600", "{{portRange.0}}", "7600", "{{platform.address|json}}", `"10.0.9.9:8225"`,
 		"{{bounds.graceS}}", "8", "{{bounds.budgetSlack|json}}", "54", "{{limits.memoryMb|json}}", "284",
+		"{{contracts|json}}", `["pressure"]`,
 	).Replace(string(text))
 }
 
@@ -50,6 +51,7 @@
 		is.Equal(s.KeeperPort, 7600)
 		is.Equal(s.Links, "10.0.0.1:7600")
 		is.Equal(s.EvacuationTime, settings.Duration(0))
+		is.Equal(s.Contracts, []string{"pressure"})
 	})
 	t.Run("a platform that evacuates zones gives the time for it", func(t *testing.T) {
 		is := is.New(t)
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -59,6 +59,14 @@
 	m.scope.Tagged(map[string]string{"action": action}).Counter("cold_holds").Inc(1)
 }
 
+// recordQueueVisit counts a call that asked for its tokens in a queue, by its outcome, and the time that it waited.
+func (m *Meter) recordQueueVisit(v QueueVisit) {
+	m.scope.Tagged(map[string]string{"outcome": v.outcome}).Counter("rate_queue").Inc(1)
+	if v.waited > 0 {
+		m.scope.Histogram("rate_queue_wait", latencyBuckets()).RecordDuration(v.waited)
+	}
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
--- a/gateway/ratefleet_test.go
+++ b/gateway/ratefleet_test.go
@@ -52,6 +52,8 @@
 type admission struct {
 	at     time.Time
 	tokens knapweedpulley.Tokens
+	// customer is empty if there is only one.
+	customer knapweedpulley.CustomerID
 }
 
 func newRateFleet(t *testing.T, size int) *rateFleet {
@@ -111,6 +113,13 @@
 	return f.allowances[from.Entry].Lend(customer, n), nil
 }
 
+// Reserve implements knapweedpulley.AllowanceLink.
+func (f *rateFleet) Reserve(
+	ctx context.Context, at knapweedpulley.Member, r knapweedpulley.Reservation,
+) (knapweedpulley.ReservationResult, error) {
+	return f.allowances[at.Entry].Reserve(ctx, r)
+}
+
 // play sends requests for d that sum up to the given share of the contract, to gateways at random,
 // and returns the share that was admitted.
 func (f *rateFleet) play(d time.Duration, share float64) float64 {
@@ -127,7 +136,7 @@
 		sent++
 		if f.limiters[m.Entry].Charge(f.t.Context(), testCustomer, n, 200*time.Millisecond) == nil {
 			admitted++
-			f.admitted = append(f.admitted, admission{time.Now(), n})
+			f.admitted = append(f.admitted, admission{at: time.Now(), tokens: n})
 		}
 		time.Sleep(time.Until(next))
 	}
