--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -67,6 +67,8 @@
 	minEvacuationTime = 4 * time.Second
 	// evacuationReportPeriod is the time between two reports of the requests in evacuated zones.
 	evacuationReportPeriod = time.Second
+	// queueLogPeriod is the time between two log lines for each scarce rate.
+	queueLogPeriod = 10 * time.Second
 )
 
 // process is a running gateway.
@@ -80,9 +82,11 @@
 	allowances *contract.Allowances
 	// term is how long the gateway holds its parts of what all gateways share. held is set while it
 	// does, as far as that was logged.
-	term      *term.Term
-	held      bool
-	roster    *fleet.Roster
+	term   *term.Term
+	held   bool
+	roster *fleet.Roster
+	// cold holds the endpoints that are logged as cold.
+	cold      knapweedpulley.Set[knapweedpulley.EndpointID]
 	budget    *gateway.RetryBudget
 	peers     *gateway.Peers
 	gateway   *gateway.Gateway
@@ -195,9 +199,15 @@
 func (p *process) buildShares(clock knapweedpulley.Clock, self knapweedpulley.Member) {
 	p.term, p.held = term.New(clock), true
 	p.roster = fleet.NewRoster(clock, self.Entry, p.term)
+	p.fleet.ShareWarmUp(self.Entry, p.term)
+	p.cold = make(knapweedpulley.Set[knapweedpulley.EndpointID])
 	p.peers = gateway.NewPeers(self)
 	p.allowances = contract.NewAllowances(clock, self.Entry, p.settings.Gateways)
 	p.allowances.Bind(p.term)
+	if platform.QueuesScarceRates(p.settings.Contracts) {
+		p.allowances.EnableQueues()
+		p.cleanups.Add(machine.Every(queueLogPeriod, p.logQueues))
+	}
 	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
 }
 
@@ -229,10 +239,21 @@
 	}
 	contracts := make([]knapweedpulley.Contract, 0, len(s.Accounts))
 	for _, a := range s.Accounts {
-		contracts = append(contracts, a.Contract)
+		c := a.Contract
+		if a.CountsTokens && platform.QueuesScarceRates(p.settings.Contracts) {
+			c.Slack = contract.QueueSlack
+		}
+		contracts = append(contracts, c)
 	}
 	p.allowances.Configure(contracts)
 	p.placer.Configure(s.Services)
+	limits := make(map[knapweedpulley.ServiceID]knapweedpulley.WarmUpLimit)
+	for id, service := range s.Services {
+		if limit, limited := service.WarmUp.Get(); limited {
+			limits[id] = limit
+		}
+	}
+	p.fleet.ConfigureWarmUp(limits)
 }
 
 // newSuspects returns the list of suspects of crashes, with connections of its own, and keeps the
@@ -258,6 +279,8 @@
 func (p *process) updateGatewayCount() {
 	members, known := p.roster.Update(p.placer.Electors())
 	p.logTerm(len(members))
+	p.fleet.Tick()
+	p.logCold()
 	if !known {
 		n, some := p.roster.Assumed()
 		if !some {
@@ -268,11 +291,22 @@
 	}
 	n := len(members)
 	p.peers.SetMembers(members)
+	p.fleet.SetGateways(members)
 	p.allowances.Assign(members)
 	p.budget.SetGatewayCount(n)
 	p.placer.SetGatewayCount(n)
 }
 
+// logQueues logs the queues of the customers whose rates are scarce.
+func (p *process) logQueues() {
+	for _, s := range p.allowances.QueueStats() {
+		p.log.WithFields(log.Fields{
+			"customer": s.Customer, "waiting": s.Waiting, "places": s.Places, "next": s.Next, "granted": s.Granted,
+			"refused": s.Refused, "returning": s.Returning, "longestReturnMs": s.LongestReturn.Milliseconds(),
+		}).Info("requests queue for a customer's rate")
+	}
+}
+
 // logTerm logs when the gateway's parts of the rates have lapsed, and when it holds them again.
 func (p *process) logTerm(gateways int) {
 	held := p.term.Held()
@@ -288,6 +322,25 @@
 	}
 }
 
+// logCold logs which endpoints have become cold, with the gateway's share of the requests that they
+// bear, and which are warm again.
+func (p *process) logCold() {
+	cold := p.fleet.Cold()
+	for id, e := range cold {
+		if !p.cold.Has(id) {
+			p.cold.Add(id)
+			p.log.WithField("endpoint", id).WithField("service", e.Registration().Service).WithField("share", e.Share).
+				WithField("coldMs", e.WarmAt.Sub(p.clock.Now()).Milliseconds()).Info("endpoint is cold; its requests are limited")
+		}
+	}
+	for id := range p.cold {
+		if _, is := cold[id]; !is {
+			p.cold.Remove(id)
+			p.log.WithField("endpoint", id).Info("endpoint is no longer cold")
+		}
+	}
+}
+
 // serveReadinessAndMetrics starts the servers for the readiness probes of the platform's load
 // balancer and for metrics.
 func (p *process) serveReadinessAndMetrics(metrics http.Handler) error {
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -35,8 +35,10 @@
 	writer    knapweedpulley.AnswerWriter
 	admission installation.Admission
 	charge    charge
-	deadline  knapweedpulley.Instant
-	avoid     knapweedpulley.Set[knapweedpulley.EndpointID]
+	// queueVisit tells how the call last got its tokens in a queue, or why not.
+	queueVisit QueueVisit
+	deadline   knapweedpulley.Instant
+	avoid      knapweedpulley.Set[knapweedpulley.EndpointID]
 	// possibleRuns counts the attempts in which the call may have run, refusals the attempts
 	// that failed before the call ran.
 	possibleRuns int
@@ -70,6 +72,8 @@
 	lastEventAt knapweedpulley.Instant
 	// loadAtChoice is the number of requests at the endpoint at the time it was chosen.
 	loadAtChoice int
+	// coldSends counts the attempts at endpoints that were cold.
+	coldSends int
 	// stalls counts the attempts that were canceled because the endpoint sent nothing for too long.
 	stalls int
 	// notRetried says why the call was not sent again after its last attempt, notMoved why it last
@@ -115,7 +119,7 @@
 func (h *callHandler) sendUntilDone(ctx context.Context) error {
 	defer func() {
 		if h.next != nil {
-			h.next.End(fleet.Inconclusive)
+			h.next.End(fleet.Unsent)
 		}
 	}()
 	for {
@@ -140,20 +144,22 @@
 // after it was chosen, while the call waited, is left for another one.
 func (h *callHandler) begin(ctx context.Context) (*fleet.ActiveRequest, error) {
 	for {
-		visit := h.reserved()
+		visit, err := h.reserved(ctx)
+		if err != nil {
+			return nil, err
+		}
 		// An endpoint that is chosen from the index and found to be evacuated is in the next index no
 		// longer. One that was reserved before may be gone from the present one already.
 		var changed <-chan struct{}
 		if visit == nil {
 			changed = h.Fleet.Changed()
-			var err error
 			if visit, err = h.beginAnywhere(ctx); err != nil {
 				return nil, err
 			}
 		}
 		reason, err := "configuration", h.readmit(ctx)
 		if err == nil && visit.Evacuated() {
-			visit.End(fleet.Inconclusive)
+			visit.End(fleet.Unsent)
 			if err := h.leaveEvacuated(ctx, visit.Endpoint, changed); err != nil {
 				return nil, err
 			}
@@ -164,38 +170,61 @@
 		}
 		if err != nil {
 			h.recordDenial(ctx, reason)
-			visit.End(fleet.Inconclusive)
+			visit.End(fleet.Unsent)
 			return nil, err
 		}
+		if visit.Cold() {
+			h.coldSends++
+		}
 		return visit, nil
 	}
 }
 
 // reserved returns the request that was begun for the call at another endpoint when it was moved, or
 // begins it at the endpoint to which it returns. It returns nil if the call needs an endpoint.
-func (h *callHandler) reserved() *fleet.ActiveRequest {
+func (h *callHandler) reserved(ctx context.Context) (*fleet.ActiveRequest, error) {
 	visit := h.next
 	h.next = nil
-	if visit == nil && h.hasRunOut() && h.left != nil {
-		// mayReturn has allowed this.
-		visit = h.left.BeginRequest(h.call.Prompt)
-		h.left = nil
+	if visit != nil || !h.hasRunOut() || h.left == nil {
+		return visit, nil
+	}
+	// mayReturn has allowed this.
+	visit, err := h.returnToLeft()
+	if err != nil {
+		h.recordDenial(ctx, "endpoint")
+		return nil, err
 	}
-	return visit
+	return visit, nil
+}
+
+// returnToLeft begins the call at the endpoint that it was moved away from. Another call may have taken
+// the share of that endpoint since mayReturn; the call can't run anywhere else.
+func (h *callHandler) returnToLeft() (*fleet.ActiveRequest, error) {
+	e := h.left
+	h.left = nil
+	visit, begun := e.BeginRequest(h.call.Prompt)
+	if !begun {
+		return nil, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
+			"endpoint %s is cold and takes no more requests now", e.ID())
+	}
+	return visit, nil
 }
 
 // beginAnywhere begins the call at the best endpoint, and waits until there is one.
 func (h *callHandler) beginAnywhere(ctx context.Context) (*fleet.ActiveRequest, error) {
-	e, err := h.findEndpoint(ctx)
+	visit, err := h.findEndpoint(ctx)
 	if shutdownErr := h.checkShutdown(); shutdownErr != nil {
 		h.recordDenial(ctx, "shutdown")
+		if visit != nil {
+			visit.End(fleet.Unsent)
+		}
 		return nil, shutdownErr
 	}
 	if err != nil {
 		h.recordDenial(ctx, "endpoint")
 		return nil, err
 	}
-	return e.BeginRequest(h.call.Prompt), nil
+	return visit, nil
 }
 
 // checkSuspects refuses the call if it is believed to crash endpoints, unless it may be sent as a
@@ -259,20 +288,20 @@
 	return min(until, h.shutdown.Load().latestSend(h.commitment()))
 }
 
-// findEndpoint returns the endpoint for the next attempt. It waits until there is one.
-func (h *callHandler) findEndpoint(ctx context.Context) (*fleet.Endpoint, error) {
+// findEndpoint begins the next attempt at the endpoint that suits it best. It waits until there is one.
+func (h *callHandler) findEndpoint(ctx context.Context) (*fleet.ActiveRequest, error) {
 	start := h.Clock.Now()
 	defer func() { h.waited += h.Clock.Now().Sub(start) }()
 	need := h.need()
-	if e, found := h.Fleet.Choose(need); found {
-		return e, nil
+	if visit, begun := h.Fleet.Begin(need); begun {
+		return visit, nil
 	}
 	ctx, cancel := h.waitContext(ctx)
 	defer cancel()
 	for {
 		changed := h.Fleet.Changed()
-		if e, found := h.Fleet.Choose(need); found {
-			return e, nil
+		if visit, begun := h.Fleet.Begin(need); begun {
+			return visit, nil
 		}
 		if err := h.Fleet.CheckEvacuation(need.Service); err != nil {
 			return nil, err
@@ -284,9 +313,9 @@
 			h.backOff(ctx, changed)
 			continue
 		}
-		if until, held := h.Fleet.HeldUntil(need); held {
-			if err := h.awaitRelease(ctx, changed, until); err != nil {
-				return nil, err
+		if hold, held := h.Fleet.Hold(need); held {
+			if visit, err := h.awaitRelease(ctx, need, changed, hold); visit != nil || err != nil {
+				return visit, err
 			}
 			continue
 		}
@@ -303,15 +332,40 @@
 }
 
 // awaitRelease waits until the first of the call's endpoints takes requests again, or for a change of
-// the fleet. It refuses the call at once if it couldn't be answered in time then.
-func (h *callHandler) awaitRelease(ctx context.Context, changed <-chan struct{}, until knapweedpulley.Instant) error {
+// the fleet. It refuses the call at once if it couldn't be answered in time then. It returns a request
+// if it has begun one.
+func (h *callHandler) awaitRelease(
+	ctx context.Context, need fleet.Requirements, changed <-chan struct{}, hold fleet.Hold,
+) (*fleet.ActiveRequest, error) {
 	now := h.Clock.Now()
+	if !hold.Until.After(now) {
+		// An endpoint takes requests since the last choice.
+		return nil, nil
+	}
+	until, loading := hold.Until, false
+	if hold.Cold && need.Weights.Model != "" {
+		if eta, sooner := h.Placer.LoadWithin(h.loadRequest(), until.Sub(now)); sooner {
+			until, loading = now.Add(eta), true
+		}
+	}
 	wait, inTime := h.HoldPolicy.Wait(knapweedpulley.HeldCall{
 		Now: now, FreeAt: until, LatestStart: h.callerPatienceEnd().Add(-firstEventReserve), Priority: h.admission.Priority,
 	})
+	if hold.Cold {
+		h.Meter.recordColdHold(inTime)
+	}
 	if !inTime {
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeHeldBack, knapweedpulley.NotRun,
-			"all endpoints of service %s want no requests for %s", h.admission.Service.ID, until.Sub(now)).WithRetryAfter(wait)
+		cause := "want no requests"
+		if hold.Cold {
+			cause = "are cold and take no more requests"
+		}
+		return nil, knapweedpulley.NewRefusal(knapweedpulley.CodeHeldBack, knapweedpulley.NotRun,
+			"all endpoints of service %s %s for %s", h.admission.Service.ID, cause, until.Sub(now)).WithRetryAfter(wait)
+	}
+	if hold.Cold && !loading {
+		if r, reserved := h.Fleet.Reserve(hold); reserved {
+			return h.awaitReservation(ctx, need, r)
+		}
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -319,10 +373,44 @@
 	case <-changed:
 	case <-timer.C:
 	case <-ctx.Done():
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
-			"the caller disconnected while all endpoints wanted no requests")
+		return nil, h.leftWhileHeld()
 	}
-	return nil
+	return nil, nil
+}
+
+// awaitReservation waits until the call may begin with a reserved part of the share of a cold endpoint,
+// or until another endpoint takes it. It returns nothing if the reservation can no longer be used.
+func (h *callHandler) awaitReservation(
+	ctx context.Context, need fleet.Requirements, r *fleet.Reservation,
+) (*fleet.ActiveRequest, error) {
+	timer := time.NewTimer(r.At.Sub(h.Clock.Now()))
+	defer timer.Stop()
+	for {
+		changed := h.Fleet.Changed()
+		select {
+		case <-changed:
+			if visit, begun := h.Fleet.Begin(need); begun {
+				r.Return()
+				return visit, nil
+			}
+		case <-timer.C:
+			if visit, begun := h.Fleet.BeginReserved(r, need); begun {
+				return visit, nil
+			}
+			r.Return()
+			return nil, nil
+		case <-ctx.Done():
+			r.Return()
+			return nil, h.leftWhileHeld()
+		}
+	}
+}
+
+// leftWhileHeld returns the refusal of a call whose caller has left while it waited for an endpoint that
+// takes requests.
+func (h *callHandler) leftWhileHeld() error {
+	return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
+		"the caller disconnected while all endpoints wanted no requests")
 }
 
 // backOff waits for refusalBackoff or a change of the fleet, whichever comes first. For a moved call,
