Replay loads in rounds of 200 ms

Arrivals keep their own instants. Run: go test -run 'TestScarce|TestLowered|TestSmallCustomersAre|TestCallL|TestCallSt' ./gateway: passed in 47 s; 0 of 8,550 calls refused within the limit, 955 of 8,529 without queues.

--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -28,6 +28,8 @@
 	// calmRate is the rate of the small customers, of which they use calmShare.
 	calmRate  = 2_600
 	calmShare = 0.6
+	// replayTick is the time between two rounds of a replay.
+	replayTick = 200 * time.Millisecond
 	// firstAnswerTime is the part of an objective that is left for the first answer.
 	firstAnswerTime = 200 * time.Millisecond
 	// atOnce is the longest time in which a refusal counts as told at once: two holders are asked, and the one
@@ -116,12 +118,14 @@
 	var list []*loadCall
 	pause := float64(l.minimum+l.maximum) / 2 / (l.rate * float64(len(f.customers))) * float64(time.Second)
 	next, began, faults := time.Now(), time.Now(), l.faults
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
+	for step := time.Now(); time.Since(began) < d; step = step.Add(replayTick) {
+		time.Sleep(time.Until(step))
 		for ; len(faults) > 0 && time.Since(began) >= faults[0].after; faults = faults[1:] {
 			faults[0].do()
 		}
 		f.step()
-		for ; !next.After(time.Now()); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
+		for ; next.Before(step.Add(replayTick)); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
+			time.Sleep(time.Until(next))
 			g := f.gateways[0]
 			if !l.oneGateway {
 				g = f.gateways[f.random.IntN(len(f.gateways))]
@@ -149,7 +153,7 @@
 		select {
 		case <-ended:
 			open = false
-		case <-time.After(tick):
+		case <-time.After(replayTick):
 		}
 	}
 	for _, customer := range f.customers {
