--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -299,7 +299,7 @@
 func (q *Queue) estimate(s *Supply, e *entry, i int, tokens float64) time.Duration {
 	before := e.route.tokensBefore(i)
 	if q.scarce {
-		return q.outlook(s, e.route).estimate(before, tokens)
+		return q.scarceEstimate(s, e.route, before, tokens)
 	}
 	for _, other := range q.routes {
 		if other != e.route {
@@ -309,35 +309,22 @@
 	return durationOf(accrualTime(before+min(s.Burst, tokens)-s.Level, s.Rate))
 }
 
-// outlook is what a route can count on while the rate is scarce.
-type outlook struct {
-	supply *Supply
-	credit float64
-	// share is the rate at which the route's counter grows, accrual the rate at which tokens accrue beside those of
-	// the routes whose requests can wait less, and reserve the tokens that it leaves for these.
-	share   float64
-	accrual float64
-	reserve float64
-}
-
-func (q *Queue) outlook(s *Supply, r *route) outlook {
+// scarceEstimate returns the time after which a request with the given tokens of its route ahead of it is granted:
+// when the route has paid for those, and then its own tokens have accrued beside those of the routes whose
+// requests can wait less.
+func (q *Queue) scarceEstimate(s *Supply, r *route, before, tokens float64) time.Duration {
 	first := 0.0
 	for _, other := range q.routes {
 		if other != r && other.patience < r.patience {
 			first += other.weight / q.weight
 		}
 	}
-	return outlook{supply: s, credit: r.credit, share: q.share(r, s), accrual: s.Rate * max(minAccrual, 1-first), reserve: q.reserve(r, s)}
-}
-
-// estimate returns the time after which a request with the given tokens of its route ahead of it is granted: when
-// the route has paid for those, and then its own tokens have accrued.
-func (o outlook) estimate(before, tokens float64) time.Duration {
-	if before > o.credit {
+	accrual := s.Rate * max(minAccrual, 1-first)
+	if before > r.credit {
 		// Until the route has paid, other routes use the tokens.
-		return durationOf(shareMargin*(before-o.credit)/o.share + accrualTime(tokens, o.accrual))
+		return durationOf(shareMargin*(before-r.credit)/q.share(r, s) + accrualTime(tokens, accrual))
 	}
-	return durationOf(accrualTime(min(o.supply.Burst, tokens+o.reserve)+before-o.supply.Level, o.accrual))
+	return durationOf(accrualTime(min(s.Burst, tokens+q.reserve(r, s))+before-s.Level, accrual))
 }
 
 // accrualTime returns the time in seconds in which tokens accrue.
@@ -363,25 +350,13 @@
 	return e.tokens
 }
 
-// admissible reports whether a request at position i of its route will be granted in time, and those behind it
-// as well.
+// admissible reports whether a request at position i of its route will be granted in time. While the rate isn't
+// scarce, it must not make one behind it late either; otherwise the routes' shares see to that.
 func (q *Queue) admissible(now knapweedpulley.Instant, s *Supply, e *entry, i int) bool {
-	r, size := e.route, q.size(e)
-	if now.Add(q.estimate(s, e, i, size)).After(e.until) {
+	if now.Add(q.estimate(s, e, i, q.size(e))).After(e.until) {
 		return false
 	}
-	if !q.scarce {
-		return q.othersInTime(now, s, e)
-	}
-	expected := q.outlook(s, r)
-	before := r.tokensBefore(i) + size
-	for _, later := range r.entries[i+1:] {
-		if now.Add(expected.estimate(before, later.tokens)).After(later.key) {
-			return false
-		}
-		before += later.tokens
-	}
-	return true
+	return q.scarce || q.othersInTime(now, s, e)
 }
 
 // othersInTime reports whether the first request of each route behind a new one is still granted in time while the
