Weigh samples of a pace by the time between them

Samples within a spell count together as one, and one figure counts a fifth in the mean. Failures decay without further outcomes, so that an endpoint gets calls again.

--- a/pace/exclusion.go
+++ b/pace/exclusion.go
@@ -27,7 +27,7 @@
 	failureExcess = 0.2
 	// minSamples and minOutcomes are the numbers from which on an endpoint is judged, and those
 	// with returning are the same while it returns.
-	minSamples           = 6
+	minSamples           = 8
 	minOutcomes          = 5
 	minReturningSamples  = 2
 	minReturningOutcomes = 2
--- a/pace/member.go
+++ b/pace/member.go
@@ -33,17 +33,27 @@
 	// statedTime is the time constant of the mean of the stated paces. It spans several slow spells
 	// of a VM.
 	statedTime = 10 * time.Second
+	// maxFigureWeight is the most that one of several figures counts in the mean, as figures that
+	// arrive seldom may each be from a spell.
+	maxFigureWeight = 0.2
 	// spellTime is the time in which the deviation of the last figure from the mean loses its
 	// weight. Slow spells of a VM last about 600 ms.
 	spellTime = 600 * time.Millisecond
 	// learnedTime is the time constant after which samples lose their weight. It holds about nine
 	// answers of an engine in a large fleet.
 	learnedTime = 60 * time.Second
+	// failureTime is the time without outcomes in which the share of failed requests loses half of its
+	// weight in the choice, so that an endpoint gets calls again some seconds after it failed.
+	failureTime = 10 * time.Second
 	// learnedTerm is how long the result of a comparison with the peers counts.
 	learnedTerm = 30 * time.Second
 	// priorSamples is the weight of the assumption that an endpoint is like its peers, as a number
 	// of samples. A sample that falls into a slow spell is off by a factor of 2.5.
 	priorSamples = 3
+	// priorOutcomes is the weight of the assumption that requests don't fail, as a number of requests.
+	priorOutcomes = 4
+	// minSampleWeight is the weight of a sample that was taken at the same time as another.
+	minSampleWeight = 0.02
 	// minPace and maxPace bound the estimates, as the paces that endpoints can state are bounded.
 	minPace = 0.1
 	maxPace = 10
@@ -89,9 +99,10 @@
 
 // stated is what an endpoint has stated of its pace.
 type stated struct {
-	mean float64
-	last float64
-	at   knapweedpulley.Instant
+	mean  float64
+	last  float64
+	count float64
+	at    knapweedpulley.Instant
 }
 
 // cell is the mean of the logarithms of the samples of a kind in a band, and their weight.
@@ -106,6 +117,8 @@
 	failed float64
 	ended  float64
 	at     knapweedpulley.Instant
+	// sampledAt is when the last sample was taken.
+	sampledAt knapweedpulley.Instant
 }
 
 // decayed returns what is left of l at an instant.
@@ -137,9 +150,9 @@
 	return sum
 }
 
-// failures estimates the share of requests that fail, assuming that two more have not.
+// failures estimates the share of requests that fail, assuming that priorOutcomes more have not.
 func (l *learned) failures() float64 {
-	return l.failed / (l.ended + 2)
+	return l.failed / (l.ended + priorOutcomes)
 }
 
 // Member is one run of an endpoint in the group of its service.
@@ -167,7 +180,7 @@
 	value := bounded(float64(p))
 	for {
 		last := m.stated.Load()
-		next := &stated{mean: value, last: value, at: now}
+		next := &stated{mean: value, last: value, count: 1, at: now}
 		if last != nil {
 			age := now.Sub(last.at)
 			if age < 0 {
@@ -176,7 +189,9 @@
 			if age < statedTerm {
 				// The least weight is that of figures which arrive every fifth of a spell.
 				age = max(age, spellTime/5)
-				next.mean = last.mean + (1-math.Exp(-float64(age)/float64(statedTime)))*(value-last.mean)
+				next.count = last.count + 1
+				weight := min(1-math.Exp(-float64(age)/float64(statedTime)), max(maxFigureWeight, 1/next.count))
+				next.mean = last.mean + weight*(value-last.mean)
 			}
 		}
 		if m.stated.CompareAndSwap(last, next) {
@@ -208,8 +223,11 @@
 	ratio := math.Log(max(float64(took), float64(time.Millisecond)) / float64(usual) / m.base(g.reference.Load(), now, false))
 	m.update(now, func(l *learned) {
 		c := &l.cells[i]
-		c.weight++
-		c.mean += (ratio - c.mean) / c.weight
+		// Streams that run beside each other show the same spell.
+		weight := min(max(float64(now.Sub(l.sampledAt))/float64(spellTime), minSampleWeight), 1)
+		l.sampledAt = now
+		c.weight += weight
+		c.mean += (ratio - c.mean) * weight / c.weight
 	})
 	m.judgeSample(g, i, ratio, now)
 	g.compare(now)
@@ -266,6 +284,16 @@
 	return knapweedpulley.Pace(bounded(p * m.exclusion.Load().returnFactor(now)))
 }
 
+// Failures estimates the share of requests that fail. It decays if no more requests end.
+func (m *Member) Failures(now knapweedpulley.Instant) float64 {
+	l := m.learned.Load()
+	if l == nil {
+		return 0
+	}
+	left := 1 / (1 + float64(max(0, now.Sub(l.at)))/float64(failureTime))
+	return l.failed * left / (l.ended*left + priorOutcomes)
+}
+
 // base returns the stated pace, or what is left of it and that of the peers. With spells, the last
 // figure counts beside the mean.
 func (m *Member) base(r *reference, now knapweedpulley.Instant, spells bool) float64 {
