Choose endpoints by their pace

With the pace that endpoints state and what their answers show, the choice goes by the expected time to the first event and the expected pause, keeps calls where the objective for pauses is kept, and leaves out excluded endpoints except for probes. Where no endpoint states its pace, the choice is as before.

Run: go test ./fleet ./pace.

--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -49,6 +49,11 @@
 	Avoid    knapweedpulley.Set[knapweedpulley.EndpointID]
 	// MaxSilence excludes endpoints that have been silent for that long, unless it is zero.
 	MaxSilence time.Duration
+	// EventGapTarget is the objective for the time between two events, zero if there is none.
+	EventGapTarget time.Duration
+	// MayProbe allows the choice of an endpoint that was excluded for its pace or failures, to find out
+	// whether it is sound again.
+	MayProbe bool
 }
 
 // Choose returns the endpoint with the earliest expected answer among those
@@ -96,15 +101,19 @@
 	var best *Endpoint
 	var lowest time.Duration
 	bestAvoided := false
+	now, paced := f.paced(needs.Service)
 	for _, e := range candidates {
 		if _, held := e.HeldUntil(); held || needs.Avoid.Has(e.id) || needs.MaxSilence > 0 && e.Silent(needs.MaxSilence) {
 			continue
 		}
-		avoided := e.Avoided()
+		avoided, probe := e.avoidedBy(needs, now, paced)
+		if probe {
+			return e, true
+		}
 		if best != nil && avoided && !bestAvoided {
 			continue
 		}
-		cost := f.cost(e, needs)
+		cost := f.costOf(e, needs, now, paced)
 		if e == preferred {
 			cost -= time.Duration(needs.Shared) * prefillPerToken
 		}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/pace"
 )
 
 const (
@@ -71,10 +72,11 @@
 	silentAt  atomic.Int64
 	// leaving is set once the endpoint has said that it is leaving.
 	leaving atomic.Bool
+	pace    *pace.Member
 }
 
 func newEndpoint(id knapweedpulley.EndpointID, clock knapweedpulley.Clock) *Endpoint {
-	return &Endpoint{id: id, clock: clock}
+	return &Endpoint{id: id, clock: clock, pace: pace.NewMember(id)}
 }
 
 // ID returns the endpoint's id.
@@ -168,6 +170,9 @@
 func (e *Endpoint) Observe(l knapweedpulley.EndpointLoad) {
 	l.Running, l.Waiting = bounded(l.Running), bounded(l.Waiting)
 	e.load.Store(&receivedLoad{EndpointLoad: l, active: e.active.Load()})
+	if p, known := l.Pace.Get(); known {
+		e.pace.State(p, e.clock.Now())
+	}
 }
 
 // setReport stores a keeper's report. If the keeper read the endpoint after it refused
@@ -212,6 +217,7 @@
 	*Endpoint
 	prompt     int64
 	prefilling atomic.Bool
+	sampler    eventSampler
 }
 
 // BeginRequest counts a request with the given number of prompt tokens as active.
@@ -247,6 +253,7 @@
 func (r *ActiveRequest) End(o Outcome) {
 	r.PromptProcessed()
 	r.active.Add(-1)
+	r.recordPaceOutcome(o)
 	switch o {
 	case Answered:
 		r.brokenInRow.Store(0)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/pace"
 )
 
 // index is an immutable snapshot of the fleet.
@@ -44,6 +45,8 @@
 	// mu is held to replace the index. It guards departures.
 	mu         sync.Mutex
 	departures departures
+	paceGroups atomic.Pointer[paceGroups]
+	paceReport atomic.Pointer[func(pace.Change)]
 }
 
 // New returns an empty fleet, seen from a zone.
@@ -77,6 +80,7 @@
 		e.registration.Store(&r)
 		next[r.ID] = e
 	}
+	f.updatePace(next)
 	f.replace(last, next)
 }
 
--- a/pace/member.go
+++ b/pace/member.go
@@ -44,7 +44,7 @@
 	learnedTime = 60 * time.Second
 	// failureTime is the time without outcomes in which the share of failed requests loses half of its
 	// weight in the choice, so that an endpoint gets calls again some seconds after it failed.
-	failureTime = 10 * time.Second
+	failureTime = 5 * time.Second
 	// learnedTerm is how long the result of a comparison with the peers counts.
 	learnedTerm = 30 * time.Second
 	// priorSamples is the weight of the assumption that an endpoint is like its peers, as a number
@@ -62,7 +62,7 @@
 )
 
 // A step of an engine takes about 10 ms and a little for each running request. An event holds three
-// or four tokens, each of which takes a step, and prompts of neighbours are read in between.
+// or four tokens, each of which takes a step, and the prompts of others are read in between.
 const (
 	// EventTime is the time between two events of a stream that has its engine for itself.
 	EventTime = 35 * time.Millisecond
