Load a model sooner if its holders can't keep pauses

ScaleOut also asks for one more holder if all are expected to miss the call's objective for pauses while another engine would keep it. Among the engines that could load it, the pace counts. Both only where endpoints state their pace.

Run: go test ./placement

--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -84,6 +84,8 @@
 	TargetTime knapweedpulley.Instant
 	// Deadline is when the request stops waiting.
 	Deadline knapweedpulley.Instant
+	// EventGapTarget is the objective for the time between two events, zero if there is none.
+	EventGapTarget time.Duration
 }
 
 // Await requests a load if necessary and returns nil once an endpoint holds the weights. The error
@@ -127,10 +129,14 @@
 	}
 }
 
-// ScaleOut requests a load on one more endpoint if those that hold the weights are busy. load is
-// the number of requests at the best of them.
+// ScaleOut requests a load on one more endpoint if those that hold the weights are busy, or are
+// expected to miss the objective for pauses that another one would keep. load is the number of
+// requests at the best of them.
 func (p *Placer) ScaleOut(r LoadRequest, load int) {
-	if load < scaleOutLoad || float64(load) < scaleOutLoadRatio*p.meanLoad(r.Service) {
+	busy := load >= scaleOutLoad && float64(load) >= scaleOutLoadRatio*p.meanLoad(r.Service)
+	if !busy && !p.fleet.PauseObjectiveMissed(fleet.Requirements{
+		Service: r.Service, Weights: r.Weights, EventGapTarget: r.EventGapTarget,
+	}) {
 		return
 	}
 	p.requestLoad(loadTarget{service: r.Service, weights: r.Weights}, r)
@@ -291,7 +297,11 @@
 		if !fits {
 			continue
 		}
-		d += time.Duration(e.Load()) * loadPenalty
+		if cost, paced := p.fleet.PaceLoadCost(e, loadPenalty); paced {
+			d += cost
+		} else {
+			d += time.Duration(e.Load()) * loadPenalty
+		}
 		rank := fleet.Rank(string(t.weights.Model)+"/"+string(t.weights.Adapter), e.ID())
 		if best == nil || d < bestTime || (d == bestTime && rank > bestRank) {
 			best, bestTime, bestTier, bestRank = e, d, tier, rank
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -461,6 +461,57 @@
 		time.Sleep(time.Second)
 		is.Equal(f.keepers["b"].requestCount(), 0)
 	})
+	// These guard against pauses at a slow holder while a fast engine is idle, and against loads that
+	// other deployments don't need.
+	slowHolder := func(f *fixture, statesPace bool, gap time.Duration) int {
+		f.keepers["a"].setReport(func(r *knapweedpulley.EngineReport) { r.Models, r.Running = loadedModels("m"), 7 })
+		for id, p := range map[knapweedpulley.EndpointID]knapweedpulley.Pace{"a": 1.6, "b": 0.6} {
+			l := knapweedpulley.EndpointLoad{Running: 7, Slots: 64}
+			if statesPace {
+				l.Pace = knapweedpulley.Some(p)
+			}
+			f.fleet.Endpoints()[id].Observe(l)
+		}
+		time.Sleep(time.Second)
+		r := request()
+		r.EventGapTarget = gap
+		f.placer.ScaleOut(r, 7)
+		time.Sleep(time.Second)
+		return f.keepers["b"].requestCount()
+	}
+	inBubble("a model is loaded again sooner if its holder is too slow for its objective", t, func(f *fixture) {
+		is.New(f.t).True(slowHolder(f, true, 300*time.Millisecond) > 0)
+	})
+	inBubble("but not if there is no objective", t, func(f *fixture) {
+		is.New(f.t).Equal(slowHolder(f, true, 0), 0)
+	})
+	inBubble("nor if no endpoint states its pace", t, func(f *fixture) {
+		is.New(f.t).Equal(slowHolder(f, false, 300*time.Millisecond), 0)
+	})
+}
+
+func TestFasterEngineLoadsModel(t *testing.T) {
+	// Which of two like engines loads a model depends on the model, so that each has to be slow once.
+	for _, slow := range []knapweedpulley.EndpointID{"a", "b"} {
+		inBubble("if "+string(slow)+" is slow", t, func(f *fixture) {
+			is := is.New(f.t)
+			for id, e := range f.fleet.Endpoints() {
+				p := knapweedpulley.Pace(0.6)
+				if id == slow {
+					p = 1.6
+				}
+				e.Observe(knapweedpulley.EndpointLoad{Slots: 64, Pace: knapweedpulley.Some(p)})
+			}
+			other := map[knapweedpulley.EndpointID]knapweedpulley.EndpointID{"a": "b", "b": "a"}[slow]
+			ctx, cancel := context.WithTimeout(f.t.Context(), 500*time.Millisecond)
+			defer cancel()
+			_ = f.placer.Await(ctx, placement.LoadRequest{
+				Service: "llm", Weights: knapweedpulley.Resident{Model: "m"}, Deadline: fake.Clock{}.Now().Add(9 * time.Second),
+			})
+			is.Equal(f.keepers[slow].requestCount(), 0)
+			is.True(f.keepers[other].requestCount() > 0)
+		})
+	}
 }
 
 func TestDemand(t *testing.T) {
