Tell the fleet the pace of answers, and log exclusions

Events and whole answers are samples of an endpoint's pace. The line at the end of a request has the expected pace, first event and pause where endpoints state their pace. Exclusions and returns are logged and counted.

Run: go test ./gateway

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -65,11 +65,16 @@
 	status       int
 	waited       time.Duration
 	firstLatency time.Duration
+	// sentAt is when the last attempt began.
+	sentAt knapweedpulley.Instant
 	// longestGap is the longest time between two events, lastEventAt the arrival of the last one.
 	longestGap  time.Duration
 	lastEventAt knapweedpulley.Instant
 	// loadAtChoice is the number of requests at the endpoint at the time it was chosen.
 	loadAtChoice int
+	// expectation is what the call could expect at that endpoint, absent if its service's endpoints
+	// don't state their pace.
+	expectation knapweedpulley.Option[fleet.Expectation]
 	// stalls counts the attempts that were canceled because the endpoint sent nothing for too long.
 	stalls int
 	// notRetried says why the call was not sent again after its last attempt, notMoved why it last
@@ -232,6 +237,8 @@
 	start := h.Clock.Now()
 	defer func() { h.waited += h.Clock.Now().Sub(start) }()
 	need := h.need()
+	// An endpoint that isn't sound may fail the call, which needs a second attempt then.
+	need.MayProbe = h.sends == 0 && h.admission.Route.Retry != knapweedpulley.AtMostOnce
 	if e, found := h.Fleet.Choose(need); found {
 		return e, nil
 	}
@@ -334,6 +341,8 @@
 		Priority:   h.admission.Priority,
 		TargetTime: h.call.Arrived.Add(h.admission.Route.LatencyTarget),
 		Deadline:   until,
+
+		EventGapTarget: h.eventGapTarget(),
 	}
 }
 
@@ -345,6 +354,8 @@
 		Prompt:  h.call.Prompt,
 		Size:    h.call.Prompt + h.call.Completion,
 		Avoid:   h.avoid,
+
+		EventGapTarget: h.eventGapTarget(),
 	}
 	for i, part := range h.call.PromptParts {
 		// The last part of the prompt is specific to the request or its session.
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -53,6 +53,8 @@
 	objects *storefake.Store
 	// logs gets the gateway's log if it isn't nil.
 	logs io.Writer
+	// scope gets the gateway's counters if it isn't nil.
+	scope tally.Scope
 }
 
 // newGateway returns a gateway of the deployment once it has read the store. It must be called in a
@@ -99,11 +101,15 @@
 	if retryBudget == nil {
 		retryBudget = gateway.NewRetryBudget(d.retrySlack, 1)
 	}
+	scope := d.scope
+	if scope == nil {
+		scope = tally.NoopScope
+	}
 	return gateway.New(gateway.Options{
 		Follower: follower, Fleet: f, Placer: placer, Demand: demand, RateLimiter: rateLimiter,
 		CrashTracker: gateway.NewCrashTracker(lists["one"], crashes, f, logger),
 		RetryBudget:  retryBudget, HoldPolicy: holdback.Spread{}, Exchanger: d.exchanger, Clock: clock, Log: logger,
-		Meter: gateway.NewMeter(tally.NoopScope),
+		Meter: gateway.NewMeter(scope),
 	})
 }
 
@@ -170,6 +176,8 @@
 	partPause time.Duration
 	// keepable is the number of bytes that the gateway may keep; zero means any number.
 	keepable knapweedpulley.Bytes
+	// pace is what the endpoint states, zero for nothing.
+	pace knapweedpulley.Pace
 }
 
 // scriptedExchanger plays one scripted answer per attempt, in order, and then the last one
@@ -239,7 +247,10 @@
 
 // Load implements knapweedpulley.Reply.
 func (r *scriptedReply) Load() knapweedpulley.Option[knapweedpulley.EndpointLoad] {
-	return knapweedpulley.None[knapweedpulley.EndpointLoad]()
+	if r.pace == 0 {
+		return knapweedpulley.None[knapweedpulley.EndpointLoad]()
+	}
+	return knapweedpulley.Some(knapweedpulley.EndpointLoad{Slots: 4, Pace: knapweedpulley.Some(r.pace)})
 }
 
 // Framed implements knapweedpulley.Reply.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,9 @@
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o}
 	g.shutdownBegan, g.beginShutdown = context.WithCancel(context.Background())
+	if o.Fleet != nil {
+		o.Fleet.ObservePace(g.recordPaceChange)
+	}
 	return g
 }
 
@@ -119,6 +122,10 @@
 		"tookMs":     h.Clock.Now().Sub(h.call.Arrived).Milliseconds(),
 		"status":     h.status,
 	})
+	if x, paced := h.expectation.Get(); paced {
+		entry = entry.WithField("pacePercent", percent(x.Pace)).
+			WithField("expectedFirstMs", x.FirstEvent.Milliseconds()).WithField("expectedPauseMs", x.Pause.Milliseconds())
+	}
 	var refusal *knapweedpulley.Refusal
 	switch {
 	case err == nil:
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/pace"
 )
 
 // Meter records metrics about the outcomes of calls.
@@ -38,6 +39,16 @@
 	m.scope.Counter("holds").Inc(1)
 }
 
+// recordPaceExclusion counts an endpoint that is excluded for its pace or failures.
+func (m *Meter) recordPaceExclusion(r pace.Reason) {
+	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("pace_exclusions").Inc(1)
+}
+
+// recordPaceReturn counts an endpoint that returns from such an exclusion.
+func (m *Meter) recordPaceReturn(r pace.Reason) {
+	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("pace_returns").Inc(1)
+}
+
 // record records the outcome, the latency and the retries of a call.
 func (m *Meter) record(h *callHandler, err error) {
 	outcome := "answered"
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -44,7 +44,7 @@
 	e := visit.Endpoint
 	h.sends++
 	h.endpoint = e.ID()
-	h.loadAtChoice = max(0, e.Load()-1)
+	h.recordChoice(visit)
 	if h.call.Weights().Model != "" {
 		h.Placer.ScaleOut(h.loadRequest(), h.loadAtChoice)
 	}
@@ -91,7 +91,7 @@
 		retryable, err = true, errors.Mark(knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
 			"endpoint %s answered with status %d instead of resuming the stream", e.ID(), status), errEndpointFailed)
 	default:
-		retryable, err = h.copy(ctx, guard, reply, e)
+		retryable, err = h.copy(ctx, guard, reply, visit)
 	}
 	h.endWatch(guard)
 	outcome = h.outcome(ctx, e, err, empty)
@@ -226,8 +226,9 @@
 // copy passes an answer on to the caller. An answer of up to wholeAnswerSize is read whole first,
 // so that the call can still be sent to another endpoint if the answer breaks off.
 func (h *callHandler) copy(
-	ctx context.Context, guard *watchdog, reply knapweedpulley.Reply, e *fleet.Endpoint,
+	ctx context.Context, guard *watchdog, reply knapweedpulley.Reply, visit *fleet.ActiveRequest,
 ) (bool, error) {
+	e := visit.Endpoint
 	head := reply.Head()
 	start, whole, err := readStart(watchedReader{reply, e, guard}, reply.Keep)
 	h.endWatch(guard)
@@ -246,7 +247,11 @@
 			"endpoint %s answered with status %d", h.endpoint, head.Status), errEndpointFailed)
 	}
 	h.status = head.Status
-	h.firstLatency = h.Clock.Now().Sub(h.call.Arrived)
+	now := h.Clock.Now()
+	h.firstLatency = now.Sub(h.call.Arrived)
+	if whole && head.Status < http.StatusMultipleChoices {
+		visit.RecordResponse(now.Sub(h.sentAt))
+	}
 	h.answerStarted = true
 	if err := h.writer.WriteHead(head); err != nil {
 		return false, errors.Mark(err, errCallerWrite)
@@ -347,9 +352,11 @@
 		visit.PromptProcessed()
 		visit.RecordActivity()
 		guard.suspend()
+		arrived := h.Clock.Now()
 		if err := h.writeEvent(reply, event); err != nil {
 			return false, err
 		}
+		visit.RecordEvent(arrived, h.lastEventAt)
 		if began == 0 {
 			began = h.lastEventAt
 		}
