--- a/pace/group.go
+++ b/pace/group.go
@@ -16,8 +16,8 @@
 	// gateway of a large fleet gets a second answer of the same engine.
 	comparePeriod = 250 * time.Millisecond
 	// minPeers is the least number of endpoints with samples of a kind and band whose median is a
-	// reference for the others.
-	minPeers = 3
+	// reference. Two are left in a service of three of which one is excluded.
+	minPeers = 2
 	// minCellWeight is the least weight of the samples of an endpoint that count for a reference.
 	minCellWeight = 0.5
 )
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -136,10 +136,25 @@
 	})
 	t.Run("weighs few samples little", func(t *testing.T) {
 		w := newWorld(t, 10)
+		first := w.members[0]
+		w.members[0] = pace.NewMember("other")
 		w.run(10 * time.Second)
-		w.slowness[0] = 2.9
+		w.members[0] = first
+		w.group.SetMembers(w.members)
+		record := func() { first.RecordEvents(4, 3*(pace.EventTime+4*time.Millisecond), w.now) }
+		record()
+		w.slowness[0] = 3
 		w.run(500 * time.Millisecond)
-		w.assertRatio(0, 1, 1.2)
+		w.assertRatio(0, 1.1, 1.6)
+	})
+	t.Run("weighs streams beside each other little, which all show one spell", func(t *testing.T) {
+		w := newWorld(t, 10)
+		w.run(10 * time.Second)
+		for range 100 {
+			w.members[0].RecordEvents(4, 3*(pace.EventTime+4*time.Millisecond), w.now)
+		}
+		w.run(time.Second)
+		w.assertRatio(0, 1, 1.3)
 	})
 	t.Run("load is not slowness, though only some endpoints are loaded", func(t *testing.T) {
 		w := newWorld(t, 12)
@@ -206,9 +221,12 @@
 		is.True(w.members[0].Excluded())
 		is.Equal(w.changes[0].Reason, pace.Failing)
 		w.fails[0] = 0
-		for w.members[0].Excluded() {
-			w.run(500 * time.Millisecond)
+		for range 120 {
+			if w.members[0].Excluded() {
+				w.run(500 * time.Millisecond)
+			}
 		}
+		is.True(!w.members[0].Excluded())
 		w.assertRatio(0, 3, 4)
 		w.run(5 * time.Second)
 		w.assertRatio(0, 2, 3)
@@ -261,7 +279,7 @@
 		w := newWorld(t, 20)
 		w.run(30 * time.Second)
 		for i := range w.members {
-			w.slowness[i], w.fails[i] = 6, 0.5
+			w.slowness[i], w.states[i], w.fails[i] = 6, 6, 0.5
 		}
 		for range 120 {
 			w.run(time.Second)
@@ -292,6 +310,20 @@
 		w.group.SetMembers(w.members)
 		is.Equal(w.excluded(), 1)
 	})
+	t.Run("ends with the first sound probe also in a service of three", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 3)
+		w.slowness[0] = 6
+		for range 40 {
+			if !w.members[0].Excluded() {
+				w.run(500 * time.Millisecond)
+			}
+		}
+		is.True(w.members[0].Excluded())
+		w.slowness[0] = 1
+		w.run(3 * time.Second)
+		is.True(!w.members[0].Excluded())
+	})
 	t.Run("ends if no probe is sent", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 10)
