--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -138,9 +138,11 @@
 		begin(home, 11)
 		begin(away, 9)
 		assertChoice(t, f, n, away.ID())
-		m := n
-		m.Affinity, m.Shared = "prompt", 20_000
-		assertChoice(t, f, m, away.ID())
+		for i := range 10 { // Some of these prefer the other endpoint.
+			m := n
+			m.Affinity, m.Shared = fmt.Sprint("prompt", i), 20_000
+			assertChoice(t, f, m, away.ID())
+		}
 		begin(away, 30)
 		assertChoice(t, f, n, home.ID())
 	})
