--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -194,8 +194,7 @@
 	})
 }
 
-// It guards against endpoints that keep harming calls, that never return, and against the exclusion of
-// so many that the others can't bear the load.
+// It guards against endpoints that keep harming calls, and that never return.
 func TestExclusion(t *testing.T) {
 	t.Run("of a slow endpoint lasts longer each time, with single probes", func(t *testing.T) {
 		is := is.New(t)
@@ -261,6 +260,18 @@
 		is.True(w.members[0].TryProbe(w.now))
 		is.True(!w.members[0].TryProbe(w.now))
 	})
+	t.Run("is not needed for failures to count less and less", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2)
+		w.fails[0] = 1
+		w.run(10 * time.Second)
+		is.True(w.members[0].Failures(w.now) > 0.7)
+		is.True(w.members[0].Failures(w.now.Add(20*time.Minute)) < 0.05)
+	})
+}
+
+// It guards against the exclusion of so many endpoints that the others can't bear the load.
+func TestExclusionBound(t *testing.T) {
 	t.Run("is bounded if many endpoints are slow or fail", func(t *testing.T) {
 		is := is.New(t)
 		for n, bound := range map[int]int{2: 0, 3: 1, 4: 1, 9: 1, 10: 2, 30: 6} {
