--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,9 @@
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o}
 	g.shutdownBegan, g.beginShutdown = context.WithCancel(context.Background())
+	if o.Fleet != nil {
+		o.Fleet.ObservePace(g.recordPaceChange)
+	}
 	return g
 }
 
@@ -124,6 +127,10 @@
 		entry = entry.WithField("queue", h.queueVisit.outcome).WithField("queuedAt", h.queueVisit.holder).
 			WithField("queuedMs", h.queueVisit.waited.Milliseconds())
 	}
+	if x, paced := h.expectation.Get(); paced {
+		entry = entry.WithField("pacePercent", percent(x.Pace)).
+			WithField("expectedFirstMs", x.FirstEvent.Milliseconds()).WithField("expectedPauseMs", x.Pause.Milliseconds())
+	}
 	var refusal *knapweedpulley.Refusal
 	switch {
 	case err == nil:
