--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -36,8 +36,8 @@
 	// shareMargin is the factor by which a route is expected to get its share later than by the recent demand, as
 	// that varies. Without it, one refusal in six comes only when the request's time has passed.
 	shareMargin = 1.15
-	// minAccrual is the part of the rate at which a request's own tokens accrue at least. The routes that go before it
-	// have not always used less than their shares.
+	// minAccrual is the part of the rate at which a request's own tokens are expected to accrue at least. Routes whose
+	// requests can wait less don't always use their shares.
 	minAccrual = 0.5
 	// recheckTime is the longest time between two checks of whose turn it is, which changes as
 	// tokens accrue.
