--- a/cmd/gateway/settings_test.go
+++ b/cmd/gateway/settings_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/knapweedpulley/knapweedpulley/platform"
 	"github.com/knapweedpulley/knapweedpulley/settings"
 )
 
@@ -51,7 +52,15 @@
 		is.Equal(s.KeeperPort, 7600)
 		is.Equal(s.Links, "10.0.0.1:7600")
 		is.Equal(s.EvacuationTime, settings.Duration(0))
-		is.Equal(s.Contracts, []string{"pressure"})
+		is.True(platform.QueuesScarceRates(s.Contracts))
+	})
+	t.Run("rates have queues only if the platform asks for them", func(t *testing.T) {
+		for _, contracts := range []string{"null", "[]", `["other"]`} {
+			is := is.New(t)
+			s, err := settings.Parse[Settings]([]byte(strings.Replace(valid, `["pressure"]`, contracts, 1)))
+			is.NoErr(err)
+			is.True(!platform.QueuesScarceRates(s.Contracts))
+		}
 	})
 	t.Run("a platform that evacuates zones gives the time for it", func(t *testing.T) {
 		is := is.New(t)
