--- a/cmd/demo/fleet/control.go
+++ b/cmd/demo/fleet/control.go
@@ -64,3 +64,13 @@
 	}
 	return f.processes.run(name, r.binary, r.arguments)
 }
+
+// PID returns the process id of the process with the given name. It fails if there is
+// no such process.
+func (f *Fleet) PID(name string) (int, error) {
+	r, err := f.processes.find(name)
+	if err != nil {
+		return 0, err
+	}
+	return r.command.Process.Pid, nil
+}
--- a/faults/soak/process.go
+++ b/faults/soak/process.go
@@ -162,3 +162,10 @@
 	_ = c.Process.Kill()
 	<-ended
 }
+
+// PID returns the process id of the current run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command.Process.Pid
+}
