Limit what clients of a gateway may hold

Clients that send many large bodies, stop short of their end, send without end or never read made a gateway exceed its memory or use up its descriptors.

Package intake decides on the memory for bodies and heads and on progress; web.Guard applies it to HTTP servers: connections, heads, bodies, slow readers of answers. The gateway's servers for callers, probes and metrics use it. A body that is sent to an endpoint is no longer copied.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -85,8 +85,9 @@
 	listener  net.Listener
 	server    *http.Server
 	serveDone chan struct{}
-	// connections are those of callers.
+	// connections are those of callers. guard limits what all clients hold.
 	connections *web.Connections
+	guard       *web.Guard
 	// cancelRequests cancels the contexts of all requests.
 	cancelRequests context.CancelFunc
 	// stopping is set when the shutdown begins.
@@ -101,6 +102,7 @@
 		log:         logbook.New(output, logbook.Level(s.LogLevel), "gateway", s.ID),
 		serveDone:   make(chan struct{}),
 		connections: web.NewConnections(),
+		guard:       web.NewMachineGuard(s.MemoryMB, s.MaxFDs),
 	}
 	p.cleanups.Add(flush)
 	if err := p.build(); err != nil {
@@ -159,7 +161,7 @@
 		RetryBudget:  p.budget, HoldPolicy: holdback.Spread{}, Exchanger: exchanger, Clock: clock, Log: p.log,
 		Meter: gateway.NewMeter(scope),
 	})
-	p.ingress = platform.NewIngress(p.gateway, clock)
+	p.ingress = platform.NewIngress(p.gateway, clock, p.guard)
 	_, closeLinks, err := link.NewServer(p.settings.Links, nil, func(r grpc.ServiceRegistrar) {
 		link.RegisterAllowances(r, p.allowances)
 		link.RegisterSuspects(r, suspects)
@@ -171,6 +173,7 @@
 	}
 	// The follower is closed first: that ends the feeds of other gateways, for which the links wait.
 	p.cleanups.Add(closeLinks, closeFollower)
+	p.cleanups.Add(machine.Every(web.ReportPeriod, func() { p.guard.Report(scope, p.log) }))
 	p.cleanups.Add(machine.Every(sweepPeriod, pool.Sweep), machine.Every(gatewayCountPeriod, p.updateGatewayCount))
 	if err := p.serveReadinessAndMetrics(metrics); err != nil {
 		return err
@@ -262,14 +265,14 @@
 // serveReadinessAndMetrics starts the servers for the readiness probes of the platform's load
 // balancer and for metrics.
 func (p *process) serveReadinessAndMetrics(metrics http.Handler) error {
-	closeReady, err := web.Serve(p.settings.Ready, nil, []rest.Route{
+	closeReady, err := p.guard.Serve(p.settings.Ready, nil, []rest.Route{
 		{Method: http.MethodGet, Path: platform.ReadyPath, Handler: p.ready},
 	})
 	if err != nil {
 		return err
 	}
 	p.cleanups.Add(closeReady)
-	closeMetrics, err := web.Serve(p.settings.Metrics, nil, []rest.Route{
+	closeMetrics, err := p.guard.Serve(p.settings.Metrics, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	})
 	if err != nil {
@@ -290,10 +293,11 @@
 
 // serveCallers starts the server for callers.
 func (p *process) serveCallers() error {
-	listener, err := net.Listen("tcp", p.settings.Callers)
+	inner, err := net.Listen("tcp", p.settings.Callers)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", p.settings.Callers)
 	}
+	listener := p.guard.Listen(inner, p.connections, p.guard.Limits().Callers)
 	ctx, cancelRequests := context.WithCancel(context.Background())
 	p.cancelRequests = cancelRequests
 	p.listener = listener
--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -35,7 +35,10 @@
 	// speed.
 	RemoteLoads int `json:"remoteLoads"`
 	// MemoryMB is the memory that the process may use, in millions of bytes.
-	MemoryMB int64  `json:"memoryMb"`
+	MemoryMB int64 `json:"memoryMb"`
+	// MaxFDs is the number of descriptors that the process may open. Zero stands for the limit that the
+	// system sets.
+	MaxFDs   int    `json:"maxFds"`
 	LogLevel string `json:"logLevel"`
 }
 
@@ -56,5 +59,8 @@
 	f.Positive("gateways", float64(s.Gateways))
 	f.Positive("remoteLoads", float64(s.RemoteLoads))
 	f.Positive("memoryMb", float64(s.MemoryMB))
+	if s.MaxFDs < 0 {
+		f.Addf("maxFds", s.MaxFDs, "must not be negative")
+	}
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 }
--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -234,24 +234,40 @@
 	return nil, errors.New("none of the answers received belongs to the request")
 }
 
-// send writes a request.
+// send writes a request. A longer body is written from the caller's memory: a copy would double what the
+// request takes.
 func (c *conn) send(m Message) error {
-	b := encodeMessage(m)
+	long := len(m.Body) > maxInlineBodyBytes
+	b := encodeMessage(m, !long)
 	if _, err := c.Write(b); err != nil {
 		return err
 	}
-	c.sending.complete(len(b))
+	size := len(b)
+	if long {
+		if _, err := c.Write(m.Body); err != nil {
+			return err
+		}
+		size += len(m.Body)
+	}
+	c.sending.complete(size)
 	return nil
 }
 
-func encodeMessage(m Message) []byte {
+// encodeMessage returns the head of a message, and its body if withBody is set.
+func encodeMessage(m Message, withBody bool) []byte {
 	var b bytes.Buffer
-	b.Grow(len(m.Body) + 1024)
+	size := 1024
+	if withBody {
+		size += len(m.Body)
+	}
+	b.Grow(size)
 	b.WriteString(m.Method + " " + m.Target + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
 	// Writing to a buffer doesn't fail.
 	_ = m.Header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(m.Body)
+	if withBody {
+		b.Write(m.Body)
+	}
 	return b.Bytes()
 }
 
--- a/installation/snapshot.go
+++ b/installation/snapshot.go
@@ -48,6 +48,15 @@
 	return knapweedpulley.Some(a.Account.Customer)
 }
 
+// Customer returns the customer that holds a key.
+func (s *Snapshot) Customer(key knapweedpulley.KeyHash) knapweedpulley.Option[knapweedpulley.CustomerID] {
+	a, known := s.accounts[key]
+	if !known {
+		return knapweedpulley.None[knapweedpulley.CustomerID]()
+	}
+	return knapweedpulley.Some(a.Customer)
+}
+
 // Admit determines the route, the customer and the service of a call. It returns a
 // refusal if no route matches, if the route needs a key and that is unknown, or if
 // the route has no service.
--- a/verdict.go
+++ b/verdict.go
@@ -39,6 +39,7 @@
 	CodeCustomerNotFound    Code = "customerNotFound"
 	CodeEndpointNotFound    Code = "endpointNotFound"
 	CodeBodyTooLarge        Code = "bodyTooLarge"
+	CodeTooSlow             Code = "tooSlow"
 	CodeRateExceeded        Code = "rateExceeded"
 	CodeQueueFull           Code = "queueFull"
 	CodeOverloaded          Code = "overloaded"
--- a/web/connections.go
+++ b/web/connections.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -23,8 +24,17 @@
 // openConnection is one connection.
 type openConnection struct {
 	active atomic.Bool
+	// served is set once the connection has had a request.
+	served atomic.Bool
+	// waitsSince is when it began to wait for a request, in nanoseconds since 1970.
+	waitsSince atomic.Int64
+	// closing is set when it is being closed for a new one.
+	closing atomic.Bool
 }
 
+// closingSlack is how many connections may be closing while new ones are accepted in their place.
+const closingSlack = 4
+
 // NewConnections returns the connections of a server that hasn't started.
 func NewConnections() *Connections {
 	return &Connections{ended: make(chan struct{}, 1)}
@@ -35,8 +45,13 @@
 	switch state {
 	case http.StateNew:
 		c.count.Add(1)
-		c.open.Store(connection, &openConnection{})
+		o := &openConnection{}
+		o.waitsSince.Store(time.Now().UnixNano())
+		c.open.Store(connection, o)
 	case http.StateClosed, http.StateHijacked:
+		if g := guardOf(connection); g != nil {
+			g.endHead()
+		}
 		if o, known := c.open.LoadAndDelete(connection); known {
 			c.setActive(o, false)
 			c.decrement(&c.count)
@@ -45,7 +60,64 @@
 		if o, known := c.open.Load(connection); known {
 			c.setActive(o, state == http.StateActive)
 		}
+		if g := guardOf(connection); g != nil {
+			g.setInHead(state == http.StateIdle)
+		}
+	}
+}
+
+// guardOf returns the guarded connection below a connection, or nil.
+func guardOf(connection net.Conn) *guardedConn {
+	if t, ok := connection.(*tls.Conn); ok {
+		connection = t.NetConn()
+	}
+	g, _ := connection.(*guardedConn)
+	return g
+}
+
+// makeRoom closes a connection for a new one if maximum are open: the one that has waited longest for its
+// first request, or else for its next one. It reports whether it closes one, and whether there is room.
+func (c *Connections) makeRoom(maximum int) (closing, ok bool) {
+	count := c.count.Load()
+	if count < int64(maximum) {
+		return false, true
+	}
+	if count >= int64(maximum+closingSlack) {
+		return false, false
+	}
+	var oldest *openConnection
+	var oldestConn net.Conn
+	c.open.Range(func(key, value any) bool {
+		o, isOpen := value.(*openConnection)
+		connection, isConn := key.(net.Conn)
+		if isOpen && isConn && o.replaceable() && (oldest == nil || o.waitsLonger(oldest)) {
+			oldest, oldestConn = o, connection
+		}
+		return true
+	})
+	if oldest == nil {
+		return false, false
+	}
+	oldest.closing.Store(true)
+	if t, ok := oldestConn.(*tls.Conn); ok {
+		// Closing it in order would wait for a client that doesn't read.
+		oldestConn = t.NetConn()
+	}
+	closeUnused(oldestConn)
+	return true, true
+}
+
+// replaceable reports whether a connection has no request.
+func (o *openConnection) replaceable() bool {
+	return !o.active.Load() && !o.closing.Load()
+}
+
+// waitsLonger reports whether a connection is closed before another.
+func (o *openConnection) waitsLonger(other *openConnection) bool {
+	if served, otherServed := o.served.Load(), other.served.Load(); served != otherServed {
+		return !served
 	}
+	return o.waitsSince.Load() < other.waitsSince.Load()
 }
 
 func (c *Connections) setActive(value any, active bool) {
@@ -54,9 +126,11 @@
 		return
 	}
 	if active {
+		o.served.Store(true)
 		c.active.Add(1)
 		return
 	}
+	o.waitsSince.Store(time.Now().UnixNano())
 	c.decrement(&c.active)
 }
 
@@ -102,12 +176,18 @@
 		if o, ok := value.(*openConnection); ok && o.active.Load() {
 			return true
 		}
-		switch open := connection.(type) {
-		case *net.TCPConn:
-			_ = open.CloseRead()
-		case net.Conn:
-			_ = open.Close()
+		if open, ok := connection.(net.Conn); ok {
+			closeUnused(open)
 		}
 		return true
 	})
 }
+
+// closeUnused makes the server close a connection, unless it has read a request by now or is reading it.
+func closeUnused(connection net.Conn) {
+	if half, ok := connection.(interface{ CloseRead() error }); ok {
+		_ = half.CloseRead()
+		return
+	}
+	_ = connection.Close()
+}
--- /dev/null
+++ b/web/guard.go
@@ -0,0 +1,84 @@
+package web
+
+import (
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/intake"
+	"github.com/knapweedpulley/knapweedpulley/machine"
+)
+
+// ReportPeriod is the time between two reports of a guard, and so between its log lines.
+const ReportPeriod = 10 * time.Second
+
+// Guard applies the limits of a process to the clients of its servers: the number of their connections,
+// the memory of their heads and bodies, and their progress.
+type Guard struct {
+	limits   intake.Limits
+	budget   *intake.Budget
+	recorder *intake.Recorder
+	clock    knapweedpulley.Clock
+}
+
+// NewGuard returns a guard of the given limits.
+func NewGuard(l intake.Limits, clock knapweedpulley.Clock) *Guard {
+	r := intake.NewRecorder()
+	return &Guard{limits: l, budget: intake.NewBudget(l, clock, r), recorder: r, clock: clock}
+}
+
+// NewMachineGuard returns a guard for a process with settings of its memory in megabytes and of its
+// descriptors. For those that are zero, it takes what the machine has.
+func NewMachineGuard(memoryMB int64, descriptors int) *Guard {
+	return NewGuard(intake.NewLimits(machine.MemoryOf(memoryMB), machine.Descriptors(descriptors)), machine.NewClock())
+}
+
+// Limits returns the limits.
+func (g *Guard) Limits() intake.Limits {
+	return g.limits
+}
+
+// Report adds what was limited since the last report to the counters of scope, and logs one line if there
+// was anything. Only one goroutine may call it.
+func (g *Guard) Report(scope tally.Scope, logger log.Interface) {
+	g.recorder.Report(scope, logger)
+}
+
+// Listen returns a listener whose connections are guarded. At most maximum are open at a time: for a new
+// one, the oldest without a request is closed, or the new one if there is none. Connections.Track must
+// be the ConnState hook of the server.
+func (g *Guard) Listen(l net.Listener, c *Connections, maximum int) net.Listener {
+	return &listener{Listener: l, guard: g, connections: c, maximum: maximum}
+}
+
+// listener is the listener of a guarded server.
+type listener struct {
+	net.Listener
+	guard       *Guard
+	connections *Connections
+	maximum     int
+}
+
+// Accept implements net.Listener. It returns the errors of the listener below: the server waits after a
+// temporary one, as when no descriptor is left.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		closing, ok := l.connections.makeRoom(l.maximum)
+		if !ok {
+			l.guard.recorder.Record(intake.ConnectionRefused)
+			_ = c.Close()
+			continue
+		}
+		if closing {
+			l.guard.recorder.Record(intake.ConnectionReplaced)
+		}
+		return newGuardedConn(c, l.guard), nil
+	}
+}
--- a/web/refusal.go
+++ b/web/refusal.go
@@ -52,6 +52,8 @@
 		return http.StatusConflict
 	case knapweedpulley.CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case knapweedpulley.CodeTooSlow:
+		return http.StatusRequestTimeout
 	case knapweedpulley.CodeRateExceeded:
 		return http.StatusTooManyRequests
 	case knapweedpulley.CodeDeadlineExceeded:
--- a/web/web.go
+++ b/web/web.go
@@ -14,6 +14,7 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -28,8 +29,13 @@
 )
 
 const (
-	// headerTimeout bounds the time in which a client must send the request header.
-	headerTimeout = 10 * time.Second
+	// headerTimeout bounds the time in which a client must send the request header, bodyTimeout that for a
+	// body that isn't read with ReadBody, idleTimeout that between two requests. maxHeaderBytes bounds
+	// the header.
+	headerTimeout  = 10 * time.Second
+	bodyTimeout    = 30 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = int(64 * knapweedpulley.KiB)
 	// shutdownTimeout bounds how long a clean-up waits for open requests.
 	shutdownTimeout = 10 * time.Minute
 	// closeTimeout bounds how long it then waits for a request that has just been read.
@@ -43,24 +49,47 @@
 	Handler http.HandlerFunc
 }
 
-// Serve listens on address and serves the routes and prefixes. If tlsConfig is nil, it serves plain
-// HTTP. The clean-up stops accepting connections and waits for open requests. Serve returns an
-// error if a route is invalid or the address can't be listened on.
+// Serve listens on address and serves the routes and prefixes to few clients, such as operators, probes and
+// readers of metrics, within the limits of the machine. See [Guard.Serve].
 func Serve(
 	address string, tlsConfig *tls.Config, routes []rest.Route, prefixes ...Prefix,
+) (knapweedpulley.Cleanup, error) {
+	return NewMachineGuard(0, 0).Serve(address, tlsConfig, routes, prefixes...)
+}
+
+// Serve listens on address and serves the routes and prefixes to few clients, such as operators, probes and
+// readers of metrics. If tlsConfig is nil, it serves plain HTTP. The clean-up stops accepting
+// connections and waits for open requests. Serve returns an error if a route is invalid or the address
+// can't be listened on.
+func (g *Guard) Serve(
+	address string, tlsConfig *tls.Config, routes []rest.Route, prefixes ...Prefix,
+) (knapweedpulley.Cleanup, error) {
+	return g.serve(address, tlsConfig, g.limits.Auxiliary, routes, prefixes)
+}
+
+// ServeCallers listens on address and serves the routes and prefixes to callers, as [Guard.Serve] does.
+// The handlers read bodies with [Guard.ReadBody].
+func (g *Guard) ServeCallers(address string, routes []rest.Route, prefixes ...Prefix) (knapweedpulley.Cleanup, error) {
+	return g.serve(address, nil, g.limits.Callers, routes, prefixes)
+}
+
+func (g *Guard) serve(
+	address string, tlsConfig *tls.Config, maximum int, routes []rest.Route, prefixes []Prefix,
 ) (knapweedpulley.Cleanup, error) {
 	handler, err := newHandler(routes, prefixes)
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", address)
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
 	connections := NewConnections()
+	listener := g.Listen(inner, connections, maximum)
 	var stopping atomic.Bool
 	server := &http.Server{
-		Handler: askToClose(&stopping, handler), ReadHeaderTimeout: headerTimeout, TLSConfig: tlsConfig, ConnState: connections.Track,
+		Handler: askToClose(&stopping, limitBody(handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, TLSConfig: tlsConfig, ConnState: connections.Track,
 	}
 	done := make(chan struct{})
 	go func() {
@@ -83,6 +112,35 @@
 	}, nil
 }
 
+// limitBody bounds the time for bodies that a handler reads itself, or that no handler reads: the server
+// reads some of them after the answer, before the connection's next request.
+func limitBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			control := http.NewResponseController(w)
+			_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+			r.Body = &timedBody{ReadCloser: r.Body, control: control}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// timedBody is a body whose deadline ends with it. The deadline would otherwise cancel the request, as if
+// its client had left.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF { //nolint:errorlint // Only the end of the body itself counts.
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // askToClose asks callers to close their connections if the server is stopping. An HTTP/2 connection
 // then takes no further requests, as SetKeepAlivesEnabled closes it only once it has none.
 func askToClose(stopping *atomic.Bool, next http.Handler) http.Handler {
