Limit what clients of entries, agents and keepers may hold

The entry reads bodies with web.Guard on the account of the customer, and its servers for callers, operators and metrics are guarded, as are the metrics of agents and keepers. An agent bounds the bodies of all entries together. The window of an answer between agent and entry is 128 KiB instead of 1 MiB, as both sides buffer it for each caller that doesn't read. New optional settings memoryMb and maxFds of entry and agent, maxFds of the keeper.

The memory of growing bodies that all wait for each other is resolved by refusing the last one, and a request waits 5 s in all steps together: in a run of the entry's chunked cases, 36 requests of clients that had left kept the entry from stopping for more than 10 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -40,6 +40,7 @@
 	crashes          crashes
 	snapshot         atomic.Pointer[snapshot]
 	draining         atomic.Bool
+	bodies           *bodyMemory
 
 	// lifetime ends when the agent's clean-up is called.
 	lifetime   context.Context
@@ -81,6 +82,7 @@
 		lifetime:    lifetime,
 		readLock:    make(chan struct{}, 1),
 		readDone:    make(chan struct{}),
+		bodies:      newBodyMemory(machine.MemoryOf(s.MemoryMB)),
 	}
 	var total knapweedpulley.Bytes
 	if s.Engine != nil {
@@ -113,6 +115,10 @@
 	if refusal != nil {
 		return knapweedpulley.Usage{}, a.meter.countRefusal(refusal)
 	}
+	if refusal := a.bodies.reserve(r); refusal != nil {
+		return knapweedpulley.Usage{}, a.meter.countRefusal(refusal)
+	}
+	defer a.bodies.release(r)
 	t, refusal := a.admission.admit(r)
 	if refusal != nil {
 		return knapweedpulley.Usage{}, a.meter.countRefusal(refusal)
--- a/agent/process/process.go
+++ b/agent/process/process.go
@@ -38,12 +38,17 @@
 	settings agent.Settings
 	log      log.Interface
 	cleanups []knapweedpulley.Cleanup
+	// guard limits what readers of metrics hold.
+	guard *web.Guard
 }
 
 // Start starts an agent. The clean-up drains it and stops it. Start returns an error if a
 // certificate can't be loaded, an address can't be bound or the settings are invalid.
 func Start(s agent.Settings, logger log.Interface) (knapweedpulley.Cleanup, error) {
-	p := &process{settings: s, log: logger}
+	if s.MemoryMB > 0 {
+		machine.LimitMemory(s.MemoryMB)
+	}
+	p := &process{settings: s, log: logger, guard: web.NewMachineGuard(s.MemoryMB, s.MaxFDs)}
 	if err := p.start(); err != nil {
 		p.cleanup()
 		return nil, err
@@ -90,10 +95,11 @@
 func (p *process) startMetrics() (tally.Scope, error) {
 	scope, handler, cleanup := metric.New("agent", string(p.settings.Endpoint))
 	p.deferCleanup(cleanup)
+	p.deferCleanup(machine.Every(web.ReportPeriod, func() { p.guard.Report(scope, p.log) }))
 	if p.settings.Metrics == "" {
 		return scope, nil
 	}
-	stop, err := web.Serve(p.settings.Metrics, nil, []rest.Route{
+	stop, err := p.guard.Serve(p.settings.Metrics, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: handler.ServeHTTP},
 	})
 	if err != nil {
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -37,6 +37,10 @@
 	Metrics string `json:"metrics,omitempty"`
 	// TLS names the files of the agent's certificate and key and of the certificate authority.
 	TLS certificate.Settings `json:"tls"`
+	// MemoryMB is the memory that the process may use, in millions of bytes, and MaxFDs the number of
+	// descriptors that it may open. Zero stands for what the machine has.
+	MemoryMB int64 `json:"memoryMb,omitempty"`
+	MaxFDs   int   `json:"maxFds,omitempty"`
 	// LogLevel is debug, info, warn or error; empty stands for info.
 	LogLevel string `json:"logLevel,omitempty"`
 }
@@ -67,6 +71,7 @@
 // Check implements knapweedpulley.Checker. It also sets the defaults.
 func (s *Settings) Check(f knapweedpulley.FieldErrors) {
 	s.TLS.Check(f.In("tls"))
+	settings.CheckResources(f, s.MemoryMB, s.MaxFDs)
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 	if s.Metrics != "" {
 		f.Address("metrics", s.Metrics)
--- a/cmd/demo/fleet/agents.go
+++ b/cmd/demo/fleet/agents.go
@@ -7,7 +7,7 @@
 // startAgent starts the agent of an endpoint. The agent of a plain service serves
 // all routes of the customers.
 func (f *Fleet) startAgent(e Endpoint) error {
-	s := agent.Settings{Endpoint: e.ID, Machine: machineOfEndpoint(e.ID), Zone: e.Zone, Listen: e.Agent}
+	s := agent.Settings{Endpoint: e.ID, Machine: machineOfEndpoint(e.ID), Zone: e.Zone, Listen: e.Agent, MemoryMB: f.memoryMB}
 	url := "http://" + e.Back
 	if !e.Plain {
 		s.Engine = &agent.EngineSettings{URL: url}
--- a/cmd/demo/fleet/entries.go
+++ b/cmd/demo/fleet/entries.go
@@ -36,6 +36,7 @@
 		Store:     store.Settings{Address: f.platform.objects},
 		Machines:  store.Settings{Address: f.platform.machines},
 		Distances: f.distances(),
+		MemoryMB:  f.memoryMB,
 		Operators: admin.Operators{{ID: operatorID, KeyHash: customer.HashOf(f.OperatorKey)}},
 	}
 }
--- a/cmd/demo/fleet/fleet.go
+++ b/cmd/demo/fleet/fleet.go
@@ -23,6 +23,9 @@
 	Deployment Deployment
 	// Entries is the number of entry processes.
 	Entries int
+	// MemoryMB is the memory of the machines of entries and agents, in millions of bytes. Zero stands for
+	// that of this machine.
+	MemoryMB int64
 	// Folder is the parent of the folder for settings and logs. If it is empty, Start
 	// uses a temporary folder and the clean-up removes it.
 	Folder string
@@ -76,6 +79,7 @@
 	ports     *ports
 	processes *processes
 	folder    string
+	memoryMB  int64
 }
 
 // Start starts a deployment and returns once all its processes answer. It fails if
@@ -97,6 +101,7 @@
 		ports:       newPorts(),
 		processes:   newProcesses(o.Binaries, folder, cancel),
 		folder:      folder,
+		memoryMB:    o.MemoryMB,
 	}
 	cleanup := func() {
 		f.processes.stop()
--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -59,8 +59,6 @@
 	f.Positive("gateways", float64(s.Gateways))
 	f.Positive("remoteLoads", float64(s.RemoteLoads))
 	f.Positive("memoryMb", float64(s.MemoryMB))
-	if s.MaxFDs < 0 {
-		f.Addf("maxFds", s.MaxFDs, "must not be negative")
-	}
+	settings.CheckResources(f, s.MemoryMB, s.MaxFDs)
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 }
--- a/cmd/keeper/main.go
+++ b/cmd/keeper/main.go
@@ -42,6 +42,9 @@
 	Metrics string `json:"metrics"`
 	// MemoryMB is the memory that the machine allows, in millions of bytes.
 	MemoryMB int64 `json:"memoryMb"`
+	// MaxFDs is the number of descriptors that the process may open. Zero stands for the limit that the
+	// system sets.
+	MaxFDs int `json:"maxFds"`
 	// OrderLateness is the time for which an order that got no answer can still be carried out.
 	OrderLateness settings.Duration `json:"orderLateness"`
 	LogLevel      string            `json:"logLevel"`
@@ -54,6 +57,7 @@
 	f.Address("engine", s.Engine)
 	f.Address("metrics", s.Metrics)
 	f.Positive("memoryMb", float64(s.MemoryMB))
+	settings.CheckResources(f, s.MemoryMB, s.MaxFDs)
 	f.Positive("orderLateness", time.Duration(s.OrderLateness).Seconds())
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 }
@@ -66,7 +70,8 @@
 	machine.LimitMemory(s.MemoryMB)
 	logQueue, flush := logbook.NewQueue(os.Stdout)
 	log := logbook.New(logQueue, logbook.Level(s.LogLevel), "keeper", s.ID)
-	_, metrics, closeMetrics := metric.New("keeper", s.ID)
+	scope, metrics, closeMetrics := metric.New("keeper", s.ID)
+	guard := web.NewMachineGuard(s.MemoryMB, s.MaxFDs)
 	pool, closePool := exchange.NewPool()
 	k, closeKeeper := keeper.New(platform.NewEngine(pool, s.Engine, s.ID), machine.NewClock(), log, keeper.Terms{
 		Token: keeper.MachineToken(s.ID), OrderLateness: time.Duration(s.OrderLateness),
@@ -78,14 +83,14 @@
 		return program.Process{}, err
 	}
 	cleanups.Add(closeServer)
-	closeMetricsServer, err := web.Serve(s.Metrics, nil, []rest.Route{
+	closeMetricsServer, err := guard.Serve(s.Metrics, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	})
 	if err != nil {
 		cleanups.Run()
 		return program.Process{}, err
 	}
-	cleanups.Add(closeMetricsServer)
+	cleanups.Add(closeMetricsServer, machine.Every(web.ReportPeriod, func() { guard.Report(scope, log) }))
 	log.WithField("engine", s.Engine).Info("keeper started")
 	return program.Process{
 		Cleanup: func() {
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +13,8 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/customer"
+	"github.com/knapweedpulley/knapweedpulley/intake"
+	"github.com/knapweedpulley/knapweedpulley/web"
 )
 
 // errKeyWithdrawn is the cause of cancellation for requests whose key was withdrawn.
@@ -56,16 +57,18 @@
 	return strings.TrimSpace(value[len(scheme):]), true
 }
 
-// readBody reads the body of a request. It refuses a body larger than limit.
-func readBody(w http.ResponseWriter, r *http.Request, limit knapweedpulley.Bytes) ([]byte, *knapweedpulley.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, knapweedpulley.NewRefusal(knapweedpulley.CodeBodyTooLarge, knapweedpulley.NotRun,
-			"the request body is larger than the limit of %s", limit)
-	}
+// bodyWeight is the memory that a byte of a body takes: in the body, in the frame for the agent and in a
+// copy with the bound of the completion.
+const bodyWeight = 3
+
+// readBody reads the body of a request on its customer's account. It refuses a body larger than the
+// customer's limit. The caller must release the body.
+func (f *frontEnd) readBody(w http.ResponseWriter, r *http.Request, c *caller) (web.Body, *knapweedpulley.Refusal) {
+	body, err := f.guard.ReadBody(w, r, web.BodyOptions{
+		Limit: c.customer.MaxBody, Weight: bodyWeight, Owner: func() intake.Owner { return intake.Owner(c.customer.ID) },
+	})
 	if err != nil {
-		return nil, invalid("read the request body: %v", err)
+		return web.Body{}, knapweedpulley.RefusalOf(err, knapweedpulley.CodeInvalidRequest)
 	}
 	return body, nil
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -37,12 +37,13 @@
 		f.refuse(w, "", refusal)
 		return
 	}
-	body, refusal := readBody(w, r, c.customer.MaxBody)
+	body, refusal := f.readBody(w, r, c)
 	if refusal != nil {
 		f.refuse(w, c.customer.ID, refusal)
 		return
 	}
-	request, refusal := newChat(c, r, body)
+	defer body.Release()
+	request, refusal := newChat(c, r, body.Data)
 	if refusal != nil {
 		f.refuse(w, c.customer.ID, refusal)
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/knapweedpulley/knapweedpulley/membership"
 	"github.com/knapweedpulley/knapweedpulley/model"
 	"github.com/knapweedpulley/knapweedpulley/store"
+	"github.com/knapweedpulley/knapweedpulley/web"
 )
 
 const (
@@ -69,6 +70,8 @@
 	transfers  *model.TransferOwner
 
 	requests *activeRequests
+	// guard limits what clients hold.
+	guard *web.Guard
 	// joined is set once members is set.
 	joined     atomic.Bool
 	leaving    atomic.Bool
@@ -88,6 +91,7 @@
 		permits:     model.NewPermits(),
 		machineList: &machineListCache{},
 		requests:    &activeRequests{},
+		guard:       web.NewMachineGuard(s.MemoryMB, s.MaxFDs),
 		self: knapweedpulley.Member{
 			Entry:       s.ID,
 			Incarnation: knapweedpulley.Incarnation(time.Now().UnixNano()),
@@ -96,6 +100,9 @@
 			Address:     s.Link,
 		},
 	}
+	if s.MemoryMB > 0 {
+		machine.LimitMemory(s.MemoryMB)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.addCleanup(func() {
 		cancel()
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -25,6 +25,7 @@
 	ready      func() error
 	scope      tally.Scope
 	meter      *burn.Meter
+	guard      *web.Guard
 	log        log.Interface
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedpulley/knapweedpulley/burn"
 	"github.com/knapweedpulley/knapweedpulley/dispatch"
 	"github.com/knapweedpulley/knapweedpulley/link"
+	"github.com/knapweedpulley/knapweedpulley/machine"
 	"github.com/knapweedpulley/knapweedpulley/metric"
 	"github.com/knapweedpulley/knapweedpulley/web"
 )
@@ -22,6 +23,7 @@
 	scope, handler, cleanup := metric.New("entry", string(e.settings.ID), e.history)
 	e.addCleanup(cleanup)
 	e.scope = scope
+	e.addCleanup(machine.Every(web.ReportPeriod, func() { e.guard.Report(scope, e.log) }))
 	return handler
 }
 
@@ -62,7 +64,7 @@
 	})
 	routes := append(handler.Routes(),
 		rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP})
-	cleanup, err := web.Serve(e.settings.Admin, e.certificates.ServerConfig(false), routes)
+	cleanup, err := e.guard.Serve(e.settings.Admin, e.certificates.ServerConfig(false), routes)
 	if err != nil {
 		return err
 	}
@@ -79,9 +81,10 @@
 		ready:      e.ready,
 		scope:      e.scope,
 		meter:      burn.NewMeter(e.scope),
+		guard:      e.guard,
 		log:        e.log,
 	}
-	cleanup, err := web.Serve(e.settings.Listen, nil, f.routes(),
+	cleanup, err := e.guard.ServeCallers(e.settings.Listen, f.routes(),
 		web.Prefix{Path: servicePrefix, Handler: f.service})
 	if err != nil {
 		return err
--- a/entry/service.go
+++ b/entry/service.go
@@ -20,12 +20,13 @@
 		f.refuse(w, "", refusal)
 		return
 	}
-	body, refusal := readBody(w, r, c.customer.MaxBody)
+	body, refusal := f.readBody(w, r, c)
 	if refusal != nil {
 		f.refuse(w, c.customer.ID, refusal)
 		return
 	}
-	request := newRequest(c, r, body)
+	defer body.Release()
+	request := newRequest(c, r, body.Data)
 	request.Kind = knapweedpulley.KindService
 	request.Route = route.ID
 	request.Path = "/" + path
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,6 +31,10 @@
 	Operators admin.Operators `json:"operators"`
 	// TLS names the certificates for the other processes and for the admin API.
 	TLS certificate.Settings `json:"tls"`
+	// MemoryMB is the memory that the process may use, in millions of bytes, and MaxFDs the number of
+	// descriptors that it may open. Zero stands for what the machine has.
+	MemoryMB int64 `json:"memoryMb,omitempty"`
+	MaxFDs   int   `json:"maxFds,omitempty"`
 	// LogLevel is debug, info, warn or error; empty stands for info.
 	LogLevel string `json:"logLevel"`
 }
@@ -47,5 +51,6 @@
 	s.Machines.Check(f.In("machines"))
 	s.Operators.Check(f)
 	s.TLS.Check(f.In("tls"))
+	settings.CheckResources(f, s.MemoryMB, s.MaxFDs)
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 }
--- a/entry/withdrawal_test.go
+++ b/entry/withdrawal_test.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedpulley/knapweedpulley/customer"
 	"github.com/knapweedpulley/knapweedpulley/dispatch"
 	"github.com/knapweedpulley/knapweedpulley/logbook"
+	"github.com/knapweedpulley/knapweedpulley/web"
 )
 
 // validLease is a lease that is always valid.
@@ -100,6 +101,7 @@
 	limiter := &chargeRecorder{}
 	e := &Entry{directory: customer.NewDirectory(), catalog: newModelCatalog(), requests: &activeRequests{}, log: logger}
 	f := &frontEnd{
+		guard:     web.NewMachineGuard(0, 0),
 		directory: e.directory, requests: e.requests, scope: tally.NoopScope, meter: burn.NewMeter(tally.NoopScope), log: logger,
 		dispatcher: dispatch.NewDispatcher(dispatch.Dependencies{
 			Lease: validLease{}, Suspects: noSuspects{}, Limiter: limiter, Log: logger,
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -19,7 +19,7 @@
 	ownerDivisor = 2
 	// maxWaiting bounds the queue. Each request in it holds its connection.
 	maxWaiting = 128
-	// maxWait is how long a request waits for memory. It is longer than stallTime, so that a request
+	// maxWait is how long a request waits for memory, in all steps together. It is longer than stallTime, so that a request
 	// that waits gets the memory of one that has stalled.
 	maxWait = 5 * time.Second
 	// checkPeriod is the time between two searches for stalled requests while others wait.
@@ -103,6 +103,8 @@
 	progress int64
 	markedAt knapweedpulley.Instant
 	waits    bool
+	// waited is how long the request has waited so far.
+	waited time.Duration
 }
 
 // NewHold returns a hold without memory.
@@ -194,10 +196,15 @@
 
 // waiter is a large request that waits for memory.
 type waiter struct {
-	hold    *Hold
-	need    knapweedpulley.Bytes
-	first   bool
-	granted chan struct{}
+	hold  *Hold
+	need  knapweedpulley.Bytes
+	first bool
+	began knapweedpulley.Instant
+	// patience is how long it may wait.
+	patience time.Duration
+	// decided is closed when the request has got its memory, or when refused is set.
+	decided chan struct{}
+	refused bool
 }
 
 // fits reports whether a request can get more memory.
@@ -239,7 +246,7 @@
 
 // enqueue adds a request to the queue.
 func (b *Budget) enqueue(h *Hold, need knapweedpulley.Bytes, first bool) *waiter {
-	w := &waiter{hold: h, need: need, first: first, granted: make(chan struct{})}
+	w := &waiter{hold: h, need: need, first: first, began: b.clock.Now(), patience: maxWait - h.waited, decided: make(chan struct{})}
 	h.waits = true
 	i := len(b.waiting)
 	if !first {
@@ -264,21 +271,31 @@
 			return
 		}
 		b.grant(w.hold, w.need)
-		w.hold.waits = false
-		b.waiting = slices.Delete(b.waiting, i, i+1)
-		close(w.granted)
+		b.leaveQueue(i)
+		close(w.decided)
 	}
 }
 
+// leaveQueue removes the i-th request from the queue.
+func (b *Budget) leaveQueue(i int) {
+	h := b.waiting[i].hold
+	h.waits = false
+	h.waited += b.clock.Now().Sub(b.waiting[i].began)
+	b.waiting = slices.Delete(b.waiting, i, i+1)
+}
+
 // wait waits until the request has got its memory, the caller has left or the time is over.
 func (b *Budget) wait(ctx context.Context, w *waiter) error {
-	timer := time.NewTimer(maxWait)
+	timer := time.NewTimer(w.patience)
 	defer timer.Stop()
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-w.granted:
+		case <-w.decided:
+			if w.refused {
+				return b.refuse()
+			}
 			return nil
 		case <-ticker.C:
 			b.dropStalled()
@@ -289,12 +306,12 @@
 		b.mu.Lock()
 		i := slices.Index(b.waiting, w)
 		if i >= 0 {
-			b.waiting = slices.Delete(b.waiting, i, i+1)
-			w.hold.waits = false
+			b.leaveQueue(i)
+			w.refused = true
 			b.grantWaiting()
 		}
 		b.mu.Unlock()
-		if i < 0 {
+		if !w.refused {
 			return nil
 		}
 		return b.refuse()
@@ -324,6 +341,10 @@
 	if len(b.waiting) == 0 {
 		return
 	}
+	b.resolveDeadlock()
+	if len(b.waiting) == 0 {
+		return
+	}
 	w, anyOwner := b.firstWaiting()
 	var leaving knapweedpulley.Bytes
 	var stalled *Hold
@@ -347,6 +368,23 @@
 	stalled.interrupt()
 }
 
+// resolveDeadlock refuses the last one of the requests that hold memory and wait for more, if all do.
+func (b *Budget) resolveDeadlock() {
+	for _, h := range b.holds {
+		if !h.waits {
+			return
+		}
+	}
+	for i, w := range slices.Backward(b.waiting) {
+		if !w.first {
+			b.leaveQueue(i)
+			w.refused = true
+			close(w.decided)
+			return
+		}
+	}
+}
+
 // firstWaiting returns the first request in the queue that waits for the memory of any owner, or else the
 // first one, which waits for that of its own owner.
 func (b *Budget) firstWaiting() (w *waiter, anyOwner bool) {
--- a/link/timing.go
+++ b/link/timing.go
@@ -31,8 +31,9 @@
 
 const (
 	// answerWindow bounds the bytes of an answer that an agent sends before the
-	// entry has acknowledged them.
-	answerWindow = 1 << 20
+	// entry has acknowledged them. Both sides buffer as much for each caller that doesn't read its answer,
+	// and the smallest machine has memory for 500 connections of callers.
+	answerWindow = 128 << 10
 	// acknowledgeThreshold is the number of bytes of an answer after which an entry
 	// sends an acknowledgment.
 	acknowledgeThreshold = 64 << 10
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -187,3 +187,13 @@
 		f.Addf(field, value, "must be debug, info, warn or error")
 	}
 }
+
+// CheckResources checks the settings of a process's memory and descriptors. Zero stands for a default.
+func CheckResources(f knapweedpulley.FieldErrors, memoryMB int64, maxFDs int) {
+	if memoryMB < 0 {
+		f.Addf("memoryMb", memoryMB, "must not be negative")
+	}
+	if maxFDs < 0 {
+		f.Addf("maxFds", maxFDs, "must not be negative")
+	}
+}
--- a/web/body.go
+++ b/web/body.go
@@ -46,12 +46,10 @@
 	}
 }
 
-// LeaveBody bounds the time for a body that isn't read, which is refused.
-func LeaveBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength != 0 {
-		// An error means that the connection has no deadlines, as in some tests.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(LingerTime))
-	}
+// LeaveBody bounds the time for the rest of a body, which isn't read because the request is refused.
+func LeaveBody(w http.ResponseWriter) {
+	// An error means that the connection has no deadlines, as in some tests.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(LingerTime))
 }
 
 // bodyReader reads the body of one request.
@@ -69,20 +67,25 @@
 // ReadBody reads the body of a request, for which it reserves memory first. The error is a refusal; the
 // connection is closed after it.
 func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, o BodyOptions) (Body, error) {
-	if r.ContentLength == 0 {
+	if r.Body == nil || r.Body == http.NoBody {
 		return Body{}, nil
 	}
+	announced := r.ContentLength
+	if announced == 0 {
+		// As with http.Client, zero stands for an unknown size where there is a body.
+		announced = -1
+	}
 	b := bodyReader{BodyOptions: o, guard: g, control: http.NewResponseController(w), body: r.Body}
 	if o.Timeout > 0 {
 		b.end = g.clock.Now().Add(o.Timeout)
 	}
-	data, err := b.read(r.Context(), r.ContentLength)
+	data, err := b.read(r.Context(), announced)
 	if err != nil {
 		if b.hold != nil {
 			b.hold.Release()
 		}
 		w.Header().Set("Connection", "close")
-		LeaveBody(w, r)
+		LeaveBody(w)
 		return Body{}, err
 	}
 	b.hold.Complete()
--- a/web/refusal.go
+++ b/web/refusal.go
@@ -68,8 +68,9 @@
 }
 
 // WriteRefusal answers a request with a refusal. It sets the Retry-After header for the statuses
-// 429 and 503.
+// 429 and 503. The rest of the request's body is read for a moment only.
 func WriteRefusal(w http.ResponseWriter, r *knapweedpulley.Refusal) {
+	LeaveBody(w)
 	status := StatusOf(r.Code)
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfter(r))
--- a/web/web.go
+++ b/web/web.go
@@ -31,7 +31,7 @@
 const (
 	// headerTimeout bounds the time in which a client must send the request header, bodyTimeout that for a
 	// body that isn't read with ReadBody, idleTimeout that between two requests. maxHeaderBytes bounds
-	// the header.
+	// the header. An operator's body has up to 1 MiB.
 	headerTimeout  = 10 * time.Second
 	bodyTimeout    = 30 * time.Second
 	idleTimeout    = time.Minute
