--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 MODULES := . $(shell sed -n 's|^\t\./||p' go.work)
 PACKAGES := $(foreach m,$(filter-out .,$(MODULES)),./$(m)/...) ./...
 
-.PHONY: all build test lint format tools generate demo local faults bench clean
+.PHONY: all build test lint format tools generate demo local faults clients bench clean
 
 all: build
 
@@ -65,6 +65,9 @@
 		../../$(BUILD)/processes.test -test.timeout 20m) || status=1; \
 	(cd faults && ../$(BUILD)/faults.test -test.timeout 20m) || status=1; exit $$status
 
+clients:
+	cd faults && KNAPWEEDPULLEY_CLIENTS=all $(GO) test -count=1 -v -timeout 20m ./clients
+
 bench: build
 	@mkdir -p $(BUILD)
 	$(GO) test -c -o $(BUILD)/bench.test ./bench
--- a/faults/clients/clients_test.go
+++ b/faults/clients/clients_test.go
@@ -63,7 +63,9 @@
 func TestMain(m *testing.M) {
 	// The HTTP library would write log lines between those of the tests.
 	logx.Disable()
-	os.Exit(m.Run())
+	code := m.Run()
+	_ = os.RemoveAll(binaries)
+	os.Exit(code)
 }
 
 var (
--- a/link/server.go
+++ b/link/server.go
@@ -55,6 +55,8 @@
 		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.MaxRecvMsgSize(maxMessageSize),
 		grpc.MaxSendMsgSize(maxMessageSize),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	)
 	register(server)
@@ -62,7 +64,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = server.Serve(listener)
+		_ = server.Serve(newLimitedListener(listener))
 	}()
 	return s, func() { s.stop(done) }, nil
 }
