--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -39,6 +39,9 @@
 	EvacuationTime settings.Duration `json:"evacuationTime"`
 	// MemoryMB is the memory that the process may use, in millions of bytes.
 	MemoryMB int64 `json:"memoryMb"`
+	// MaxFDs is the number of descriptors that the process may open. Zero stands for the limit that the
+	// system sets.
+	MaxFDs int `json:"maxFds"`
 	// Contracts lists the rules of the platform that the gateway has to keep beside the usual ones.
 	Contracts []string `json:"contracts"`
 	LogLevel  string   `json:"logLevel"`
@@ -64,5 +67,6 @@
 		f.Addf("evacuationTime", time.Duration(s.EvacuationTime), "must not be negative")
 	}
 	f.Positive("memoryMb", float64(s.MemoryMB))
+	settings.CheckResources(f, s.MemoryMB, s.MaxFDs)
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 }
