--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -126,9 +126,9 @@
 		f.step()
 		for ; next.Before(step.Add(replayTick)); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
 			time.Sleep(time.Until(next))
-			g := f.gateways[0]
+			g, again := f.gateways[0], f.gateways[0]
 			if !l.oneGateway {
-				g = f.gateways[f.random.IntN(len(f.gateways))]
+				g, again = f.gateways[f.random.IntN(len(f.gateways))], f.gateways[f.random.IntN(len(f.gateways))]
 			}
 			if g.frozen {
 				continue
@@ -139,7 +139,7 @@
 			}
 			list = append(list, c)
 			fingerprint := f.nextFingerprint()
-			calls.Go(func() { f.call(g, c, l, fingerprint) })
+			calls.Go(func() { f.call(g, again, c, l, fingerprint) })
 			synctest.Wait()
 		}
 	}
@@ -162,8 +162,9 @@
 	return list
 }
 
-// call sends a request, and sends it again once if its caller can wait for the time that it is told.
-func (f *cutFleet) call(g *cutGateway, c *loadCall, l load, fingerprint knapweedpulley.Fingerprint) {
+// call sends a request, and sends it again once, to another gateway, if its caller can wait for the time that it is
+// told.
+func (f *cutFleet) call(g, again *cutGateway, c *loadCall, l load, fingerprint knapweedpulley.Fingerprint) {
 	r := l.routes[c.route]
 	began := time.Now()
 	err := f.acquire(g, r, c, fingerprint)
@@ -179,12 +180,6 @@
 	}
 	c.came = true
 	time.Sleep(c.returnAfter)
-	again := g
-	if !l.oneGateway {
-		f.mu.Lock()
-		again = f.gateways[f.random.IntN(len(f.gateways))]
-		f.mu.Unlock()
-	}
 	if c.second = !again.frozen && f.acquire(again, r, c, fingerprint) == nil; c.second {
 		f.admit(c.customer, c.tokens)
 	}
