--- a/gateway/ratecut_test.go
+++ b/gateway/ratecut_test.go
@@ -159,36 +159,42 @@
 	from  *cutGateway
 }
 
+// to returns a gateway, and whether it can be reached.
+func (l *cutLink) to(m knapweedpulley.Member) (*cutGateway, bool) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	to := l.fleet.byID[m.Entry]
+	return to, !l.from.fromPeers && !to.fromPeers && !to.frozen
+}
+
 // Borrow implements knapweedpulley.AllowanceLink.
 func (l *cutLink) Borrow(
 	_ context.Context, m knapweedpulley.Member, customer knapweedpulley.CustomerID, n knapweedpulley.Tokens,
 ) (knapweedpulley.Tokens, error) {
 	time.Sleep(2 * time.Millisecond)
-	to := l.fleet.byID[m.Entry]
-	if l.from.fromPeers || to.fromPeers || to.frozen {
+	to, reached := l.to(m)
+	if !reached {
 		time.Sleep(58 * time.Millisecond)
 		return 0, errors.New("no answer")
 	}
 	return to.allowances.Lend(customer, n), nil
 }
 
-// Reserve implements knapweedpulley.AllowanceLink.
+// Reserve implements knapweedpulley.AllowanceLink. The answer is lost if the gateway can't be reached any more or was
+// started again.
 func (l *cutLink) Reserve(
 	ctx context.Context, m knapweedpulley.Member, r knapweedpulley.Reservation,
 ) (knapweedpulley.ReservationResult, error) {
 	time.Sleep(2 * time.Millisecond)
-	to := l.fleet.byID[m.Entry]
-	reached := func() bool { return !l.from.fromPeers && !to.fromPeers && !to.frozen }
-	if !reached() {
-		<-ctx.Done()
-		return knapweedpulley.ReservationResult{}, errors.New("no answer")
-	}
-	result, err := to.allowances.Reserve(ctx, r)
-	if !reached() {
-		<-ctx.Done()
-		return knapweedpulley.ReservationResult{}, errors.New("no answer")
+	to, reached := l.to(m)
+	if reached {
+		result, err := to.allowances.Reserve(ctx, r)
+		if now, reached := l.to(m); reached && now == to {
+			return result, err
+		}
 	}
-	return result, err
+	<-ctx.Done()
+	return knapweedpulley.ReservationResult{}, errors.New("no answer")
 }
 
 // step lets the gateways send notes, the keepers report, and the gateways act on the reports.
--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -121,7 +121,9 @@
 	for step := time.Now(); time.Since(began) < d; step = step.Add(replayTick) {
 		time.Sleep(time.Until(step))
 		for ; len(faults) > 0 && time.Since(began) >= faults[0].after; faults = faults[1:] {
+			f.mu.Lock()
 			faults[0].do()
+			f.mu.Unlock()
 		}
 		f.step()
 		for ; next.Before(step.Add(replayTick)); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
@@ -180,7 +182,10 @@
 	}
 	c.came = true
 	time.Sleep(c.returnAfter)
-	if c.second = !again.frozen && f.acquire(again, r, c, fingerprint) == nil; c.second {
+	f.mu.Lock()
+	frozen := again.frozen
+	f.mu.Unlock()
+	if c.second = !frozen && f.acquire(again, r, c, fingerprint) == nil; c.second {
 		f.admit(c.customer, c.tokens)
 	}
 }
