--- a/gateway/endreason_test.go
+++ b/gateway/endreason_test.go
@@ -4,14 +4,36 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
+// logBuffer collects log lines. A gateway goes on logging while a test reads them, for example that a
+// configuration has come into force.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// Bytes returns a copy of the lines.
+func (b *logBuffer) Bytes() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Clone(b.lines.Bytes())
+}
+
 // assertLogged asserts the reasons in the log line at the end of the only request.
-func assertLogged(t *testing.T, logs *bytes.Buffer, notRetried, notMoved string) {
+func assertLogged(t *testing.T, logs *logBuffer, notRetried, notMoved string) {
 	t.Helper()
 	is := is.New(t)
 	ends := 0
@@ -34,7 +56,7 @@
 	full := scriptedAnswer{status: http.StatusServiceUnavailable, notRun: true}
 	broken := scriptedAnswer{events: []string{"1"}, broken: true}
 	inBubble("because of the configuration", t, func(t *testing.T) {
-		var logs bytes.Buffer
+		var logs logBuffer
 		d, _ := streamDeployment(broken, full)
 		d.logs = &logs
 		answer, err := d.serveBeside(t, 10*time.Millisecond, removeRoute)
@@ -42,7 +64,7 @@
 		assertLogged(t, &logs, "configuration", "")
 	})
 	inBubble("because it has run as often as it may", t, func(t *testing.T) {
-		var logs bytes.Buffer
+		var logs logBuffer
 		d, _ := streamDeployment(broken)
 		d.logs = &logs
 		answer, err := d.serve(t)
@@ -54,7 +76,7 @@
 func TestLogTellsWhySilentCallStayed(t *testing.T) {
 	silent := scriptedAnswer{silence: silentPause, events: []string{"1"}}
 	inBubble("because there is no other endpoint", t, func(t *testing.T) {
-		var logs bytes.Buffer
+		var logs logBuffer
 		d, _ := streamDeployment(silent)
 		d.logs, d.endpoints = &logs, d.endpoints[:1]
 		answer, err := d.serve(t)
@@ -62,7 +84,7 @@
 		assertLogged(t, &logs, "", "endpoint")
 	})
 	inBubble("because of the retry budget", t, func(t *testing.T) {
-		var logs bytes.Buffer
+		var logs logBuffer
 		d, _ := streamDeployment(silent)
 		d.logs, d.retrySlack = &logs, 0
 		answer, err := d.serve(t)
@@ -70,7 +92,7 @@
 		assertLogged(t, &logs, "", "retryBudget")
 	})
 	inBubble("because of the configuration", t, func(t *testing.T) {
-		var logs bytes.Buffer
+		var logs logBuffer
 		d, _ := streamDeployment(silent)
 		d.logs = &logs
 		answer, err := d.serveBeside(t, 100*time.Millisecond, requireKey)
--- a/gateway/readmission_test.go
+++ b/gateway/readmission_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -470,7 +469,7 @@
 
 func TestSilentCallStaysWhenAnotherCustomerHoldsItsKey(t *testing.T) {
 	inBubble("a begun stream", t, func(t *testing.T) {
-		var logs bytes.Buffer
+		var logs logBuffer
 		p := waitingPlace{
 			changeAfter: 100 * time.Millisecond, before: 1, ran: true, begun: true,
 			prepare: func() deployment {
