Probe contents that ran at crashes

Cause: a content (path, key and body) that ran at two crashes was refused by all gateways until it was answered. As it was refused, it could not be answered.

Ruled out: counting crashes at the same moment as one. A content that several endpoints run when one machine after the other fails would still be refused for good, and one that crashes endpoints would reach more of them.

Change: the gateways probe a refused content in turns of 4 s, from 6 s after the refusal on. A request with it may reach one gateway only, so the turns pass from one to the next; within a turn only one gateway probes, so that requests that arrive at all of them at once are one probe. The count is in the states that the gateways exchange, and outlives restarts. A probe that no crash with the content has followed for 10 s doesn't count; after two that one has followed, there are no more. So a content that crashes endpoints reaches them twice after its second crash, in a cut twice on each side.

Without the change, gateway.TestContentThatRanAtCrashesIsProbed failed in both cases. Tests of endpoint and gateway passed with -race. The new tests failed with a limit of three probes, without turns, with turns of the first gateway only, and with probes that are counted for good.

--- a/endpoint/partstates.go
+++ b/endpoint/partstates.go
@@ -89,10 +89,11 @@
 	p.change(st)
 }
 
-// returnProbe returns a probe of a part, and reports whether it may be.
-func (p *partStates) returnProbe(part knapweedpulley.PartFingerprint) bool {
+// returnProbe returns a probe of a part, and reports whether it may be. At most limit probes of
+// the part are returned.
+func (p *partStates) returnProbe(part knapweedpulley.PartFingerprint, limit uint32) bool {
 	st := p.byPart[part]
-	if st.ReturnedProbes >= min(st.Probes, maxReturnedProbes) {
+	if st.ReturnedProbes >= min(st.Probes, limit) {
 		return false
 	}
 	st.ReturnedProbes++
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -44,6 +44,8 @@
 	// parts are the prompt parts that are suspects of a crash, or refused.
 	parts   knapweedpulley.Set[knapweedpulley.PartFingerprint]
 	refused map[knapweedpulley.PartFingerprint]*refusedPart
+	// refusedContents are keyed by contentKey.
+	refusedContents map[knapweedpulley.PartFingerprint]*refusedPart
 }
 
 // Suspects implements knapweedpulley.PromptSuspectList. Reports are merged by their
@@ -61,7 +63,11 @@
 	crashes    map[crashID]*crash
 	crashOrder []crashID
 	refused    map[knapweedpulley.PartFingerprint]*refusedPart
-	states     *partStates
+	// refusedContents are keyed by contentKey, as their states are.
+	refusedContents map[knapweedpulley.PartFingerprint]*refusedPart
+	// contentProbes are the probes of this member whose results aren't known yet.
+	contentProbes map[knapweedpulley.Fingerprint]contentProbe
+	states        *partStates
 	// notified holds, for each crash, the number of suspects in the last report
 	// that was sent to the other members. A later report can name more suspects.
 	notified map[crashID]int
@@ -78,6 +84,7 @@
 		SuspectOptions: o,
 		crashes:        make(map[crashID]*crash),
 		refused:        make(map[knapweedpulley.PartFingerprint]*refusedPart),
+		contentProbes:  make(map[knapweedpulley.Fingerprint]contentProbe),
 		states:         newPartStates(),
 		notified:       make(map[crashID]int),
 		synced:         make(knapweedpulley.Set[knapweedpulley.MemberID]),
@@ -128,7 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range parts {
-		if r := s.refused[p]; r != nil && s.states.returnProbe(p) {
+		if r := s.refused[p]; r != nil && s.states.returnProbe(p, maxReturnedProbes) {
 			r.probes.Store(s.states.countedProbes(p))
 		}
 	}
@@ -259,20 +266,14 @@
 		case later:
 			r.adopted = true
 		}
-		if r := s.refused[p]; r != nil {
-			if n := s.states.countedProbes(p); n > r.probes.Load() {
-				r.setProbes(n, now)
-			} else {
-				r.probes.Store(n)
-			}
-		}
+		s.setCountedProbes(p, now)
 		changed = changed || later
 	}
 	return changed
 }
 
-// settle records the refusals that only an answer can end from now on, for the other
-// members. A refusal that other evidence may still end isn't sent to them.
+// settle records the refusals that only an answer can end from now on, and the results of
+// probes, for the other members. A refusal that other evidence may still end isn't sent to them.
 func (s *Suspects) settle() {
 	now := s.Clock.Now()
 	for p, r := range s.refused {
@@ -280,6 +281,7 @@
 			s.states.refuse(p)
 		}
 	}
+	s.settleContentProbes()
 }
 
 // settled returns the refused parts that the other members are told of.
@@ -403,6 +405,8 @@
 		v.parts.Add(p)
 		v.refused[p] = r
 	}
+	s.refuseContents(v.contents)
+	v.refusedContents = s.refusedContents
 	s.view.Store(v)
 }
 
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -49,7 +49,7 @@
 	moved bool
 	// left is the endpoint that the call was moved away from, until the call returns to it.
 	left *fleet.Endpoint
-	// probe is set during an attempt that is made though a part of the prompt is refused, probed
+	// probe is set during an attempt that is made though the content or a part of the prompt is refused, probed
 	// from then on.
 	probe  bool
 	probed bool
@@ -170,9 +170,7 @@
 // probe.
 func (h *callHandler) checkSuspects() error {
 	err := h.CrashTracker.Check(h.call)
-	suspects := h.CrashTracker.suspectList
-	if err != nil && suspects.State(h.call.Fingerprint) != knapweedpulley.SuspectRefuse &&
-		suspects.MayProbe(h.call.SharedFingerprints()) {
+	if err != nil && h.CrashTracker.MayProbe(h.call) {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/gateway/contentprobe_test.go
@@ -0,0 +1,78 @@
+package gateway_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/gateway"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
+)
+
+// contentExchanger plays endpoints that crash at the first attempts, and answer from then on.
+type contentExchanger struct {
+	mu sync.Mutex
+	// arrived counts the attempts, of which the first ones crash endpoints.
+	arrived int
+	crashes int
+}
+
+// Exchange implements knapweedpulley.Exchanger.
+func (x *contentExchanger) Exchange(ctx context.Context, _ knapweedpulley.Attempt) (knapweedpulley.Reply, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.arrived++
+	answer := scriptedAnswer{events: []string{"1"}}
+	if x.arrived <= x.crashes {
+		answer = scriptedAnswer{broken: true}
+	}
+	return &scriptedReply{ctx: ctx, scriptedAnswer: answer, body: strings.NewReader("")}, nil
+}
+
+// RefusesConnections implements knapweedpulley.Exchanger.
+func (x *contentExchanger) RefusesConnections(context.Context, string) bool { return true }
+
+func serveContent(t *testing.T, g *gateway.Gateway) error {
+	t.Helper()
+	return g.Serve(t.Context(), &knapweedpulley.Call{
+		ID: "r", Host: "h", Path: "/x", Timeout: time.Minute, Arrived: fake.Clock{}.Now(), Fingerprint: 7,
+	}, &recordedAnswer{})
+}
+
+func TestContentThatRanAtCrashesIsProbed(t *testing.T) {
+	start := func(t *testing.T, crashes int) (*gateway.Gateway, *contentExchanger) {
+		t.Helper()
+		d, _ := crashingDeployment()
+		x := &contentExchanger{crashes: crashes}
+		d.exchanger = x
+		g := d.newGateway(t)
+		for range 5 {
+			_ = serveContent(t, g)
+		}
+		assertCrashSuspect(t, serveContent(t, g))
+		is.New(t).Equal(x.arrived, 2)
+		return g, x
+	}
+	inBubble("a sound content is served again", t, func(t *testing.T) {
+		g, _ := start(t, 2)
+		for range 20 {
+			_ = serveContent(t, g)
+			time.Sleep(time.Second)
+		}
+		is.New(t).NoErr(serveContent(t, g))
+	})
+	inBubble("a content that crashes endpoints reaches two more of them, however long it comes", t, func(t *testing.T) {
+		g, x := start(t, 1000)
+		for range 3600 {
+			_ = serveContent(t, g)
+			time.Sleep(time.Second)
+		}
+		is.New(t).Equal(x.arrived, 4)
+		assertCrashSuspect(t, serveContent(t, g))
+	})
+}
--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -84,18 +84,36 @@
 	return nil
 }
 
-// TryProbe reports whether a refused call may be sent to find out whether the parts of its prompt
-// still crash endpoints.
+// MayProbe reports whether TryProbe would allow a refused call now.
+func (c *CrashTracker) MayProbe(call *knapweedpulley.Call) bool {
+	if c.suspectList.State(call.Fingerprint) == knapweedpulley.SuspectRefuse {
+		return !c.hasRefusedPart(call) && c.suspectList.MayProbeContent(call.Fingerprint)
+	}
+	return c.suspectList.MayProbe(call.SharedFingerprints())
+}
+
+// TryProbe reports whether a refused call may be sent to find out whether its content, or the parts
+// of its prompt, still crash endpoints. A call of which both are refused isn't sent.
 func (c *CrashTracker) TryProbe(call *knapweedpulley.Call) bool {
-	if c.suspectList.State(call.Fingerprint) == knapweedpulley.SuspectRefuse ||
-		!c.suspectList.TryProbe(call.SharedFingerprints()) {
+	entry := c.log.WithField("request", call.ID).WithField("content", call.Fingerprint).WithField("parts", partNames(call))
+	if c.suspectList.State(call.Fingerprint) == knapweedpulley.SuspectRefuse {
+		if c.hasRefusedPart(call) || !c.suspectList.TryProbeContent(call.Fingerprint) {
+			return false
+		}
+		entry.Info("sending a request with a refused content as a probe")
+		return true
+	}
+	if !c.suspectList.TryProbe(call.SharedFingerprints()) {
 		return false
 	}
-	c.log.WithField("request", call.ID).WithField("parts", partNames(call)).
-		Info("sending a request with a refused prompt part as a probe")
+	entry.Info("sending a request with a refused prompt part as a probe")
 	return true
 }
 
+func (c *CrashTracker) hasRefusedPart(call *knapweedpulley.Call) bool {
+	return slices.ContainsFunc(call.SharedFingerprints(), c.suspectList.IsRefused)
+}
+
 // RecordAnswer records that an endpoint has answered a call to its end.
 func (c *CrashTracker) RecordAnswer(call *knapweedpulley.Call) {
 	c.suspectList.RecordAnswer(call.Fingerprint, call.SharedFingerprints())
--- a/suspect.go
+++ b/suspect.go
@@ -85,6 +85,11 @@
 	// ReturnProbe records that no engine ran the request of a probe, so that another one may
 	// be sent. Once a part's probe has been returned, its others count.
 	ReturnProbe(parts []PartFingerprint)
+	// MayProbeContent reports whether TryProbeContent would allow a request now.
+	MayProbeContent(f Fingerprint) bool
+	// TryProbeContent reports whether a request may be sent now, though its content is
+	// refused, to find out whether it still crashes engines. It counts the probe.
+	TryProbeContent(f Fingerprint) bool
 	// RecordAnswer records that an engine has answered a request to its end, which
 	// clears its content and parts.
 	RecordAnswer(f Fingerprint, parts []PartFingerprint)
