Send a crash report that names other suspects than the last one

Cause: a gateway took a report of a known crash for a repetition if it named no more suspects than the last one that it had sent, whether or not they were the same ones.

Change: the suspects that are known of the crash are compared, not the sizes of the reports.

Runs: the new case of endpoint.TestReportOnce failed before and passes now.

--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -68,8 +68,8 @@
 	// contentProbes are the probes of this member whose results aren't known yet.
 	contentProbes map[knapweedpulley.Fingerprint]contentProbe
 	states        *partStates
-	// notified holds, for each crash, the number of suspects in the last report
-	// that was sent to the other members. A later report can name more suspects.
+	// notified holds, for each crash, the number of suspects that were known when a
+	// report was last sent to the other members. A later report can name more suspects.
 	notified map[crashID]int
 	// answered and the changes in states are what the other members haven't been told of yet.
 	answered knapweedpulley.SuspectReport
@@ -425,7 +425,7 @@
 // once, and again when more suspects of it are known.
 func (s *Suspects) Report(ctx context.Context, r knapweedpulley.SuspectReport) {
 	s.Merge(r)
-	if !s.startNotification(crashID{endpoint: r.Endpoint, start: r.Start}, len(r.Fingerprints)+len(r.Parts)) {
+	if !s.startNotification(crashID{endpoint: r.Endpoint, start: r.Start}) {
 		return
 	}
 	var group sync.WaitGroup
@@ -435,14 +435,16 @@
 	group.Wait()
 }
 
-// startNotification reports whether a crash with that many suspects has yet to be
-// sent to the other members, and if so records it as sent.
-func (s *Suspects) startNotification(c crashID, suspects int) bool {
+// startNotification reports whether a crash has suspects that have yet to be sent to the
+// other members, and if so records them as sent. Two reports of a crash can name equally
+// many suspects and not the same ones.
+func (s *Suspects) startNotification(id crashID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if suspects <= s.notified[c] {
+	c := s.crashes[id]
+	if c == nil || len(c.contents)+len(c.parts) <= s.notified[id] {
 		return false
 	}
-	s.notified[c] = suspects
+	s.notified[id] = len(c.contents) + len(c.parts)
 	return true
 }
--- a/endpoint/suspects_test.go
+++ b/endpoint/suspects_test.go
@@ -107,4 +107,9 @@
 		is.New(t).Equal(p.sent, 2)
 		assertState(t, p.peers["two"], 2, knapweedpulley.SuspectIsolate)
 	})
+	t.Run("a report that names as many suspects as the last one, but another, is sent", func(t *testing.T) {
+		report(3, 4)
+		is.New(t).Equal(p.sent, 3)
+		assertState(t, p.peers["two"], 3, knapweedpulley.SuspectIsolate)
+	})
 }
