Ask the other gateways for refused parts before calls are sent

Ruled out: a gate at the readiness probe alone.

Change: a gateway that starts asks each gateway that the keepers list for all it knows (FetchSuspects, a new call; one of an earlier version that doesn't know it has nothing to tell). Crashes have an age there, so that a young refusal is judged as it was by the others. Until most keepers have listed the gateways and each has answered, or has ended or failed three times, the gateway isn't ready and its calls wait, for at most 1.5 s from its start. A call that can't wait so long is refused as not run, with Retry-After. Deployments without keepers, whose gateways don't know of each other, wait for about 0.1 s.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -80,6 +80,7 @@
 	budget    *gateway.RetryBudget
 	peers     *gateway.Peers
 	gateway   *gateway.Gateway
+	startup   *gateway.Startup
 	clock     knapweedpulley.Clock
 	ingress   *platform.Ingress
 	listener  net.Listener
@@ -132,7 +133,7 @@
 		Zone: p.settings.Zone, Address: p.settings.Links,
 	}
 	p.buildShares(clock, self)
-	suspects := p.newSuspects(clock)
+	suspects, sender := p.newSuspects(clock)
 	exchanger := platform.NewExchanger(pool)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
 		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Exchanger: exchanger, Clock: clock, Log: p.log,
@@ -152,12 +153,13 @@
 	})
 	p.follower = follower
 	p.clock = clock
+	p.beginStartup(suspects, sender)
 	p.gateway = gateway.New(gateway.Options{
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
 		RateLimiter:  gateway.NewRateLimiter(p.allowances, link.NewAllowanceBorrower(connections), p.peers, clock, p.log),
 		CrashTracker: gateway.NewCrashTracker(suspects, exchanger, p.fleet, p.log),
 		RetryBudget:  p.budget, HoldPolicy: holdback.Spread{}, Exchanger: exchanger, Clock: clock, Log: p.log,
-		Meter: gateway.NewMeter(scope),
+		Meter: gateway.NewMeter(scope), Startup: p.startup,
 	})
 	p.ingress = platform.NewIngress(p.gateway, clock)
 	_, closeLinks, err := link.NewServer(p.settings.Links, nil, func(r grpc.ServiceRegistrar) {
@@ -208,13 +210,12 @@
 
 // newSuspects returns the list of suspects of crashes, with connections of its own, and keeps the
 // other gateways up to date.
-func (p *process) newSuspects(clock knapweedpulley.Clock) *endpoint.Suspects {
+func (p *process) newSuspects(clock knapweedpulley.Clock) (*endpoint.Suspects, *link.SuspectSender) {
 	connections, closeConnections := link.NewConnections(nil)
-	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{
-		Group: p.peers, Peer: link.NewSuspectSender(connections), Clock: clock, Log: p.log,
-	})
+	sender := link.NewSuspectSender(connections)
+	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{Group: p.peers, Peer: sender, Clock: clock, Log: p.log})
 	p.cleanups.Add(closeConnections, machine.Every(suspectSyncPeriod, func() { syncSuspects(suspects) }))
-	return suspects
+	return suspects, sender
 }
 
 // syncSuspects tells the other gateways what they don't know of the suspects of crashes.
@@ -281,7 +282,7 @@
 
 // ready answers a readiness probe.
 func (p *process) ready(w http.ResponseWriter, _ *http.Request) {
-	if p.stopping.Load() || !p.follower.Usable() {
+	if p.stopping.Load() || !p.follower.Usable() || !p.startup.Ended() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -206,9 +206,14 @@
 	id := crashID{endpoint: r.Endpoint, start: r.Start}
 	c := s.crashes[id]
 	if c == nil {
-		c = newCrash(s.Clock.Now())
+		c = newCrash(s.Clock.Now().Add(-max(0, r.Age)))
 		s.crashes[id] = c
-		s.crashOrder = append(s.crashOrder, id)
+		// The crashes that another member tells of may be older than those known here.
+		i := len(s.crashOrder)
+		for i > 0 && s.crashes[s.crashOrder[i-1]].at > c.at {
+			i--
+		}
+		s.crashOrder = slices.Insert(s.crashOrder, i, id)
 		s.evictOldest()
 	}
 	return c.add(r)
--- a/endpoint/suspectsync.go
+++ b/endpoint/suspectsync.go
@@ -24,7 +24,7 @@
 func (s *Suspects) syncMember(ctx context.Context, m knapweedpulley.Member, changes knapweedpulley.SuspectReport) {
 	var reports []knapweedpulley.SuspectReport
 	if !s.isSynced(m) {
-		reports = s.snapshot()
+		reports = s.Snapshot()
 	}
 	if len(changes.AnsweredContents) > 0 || len(changes.AnsweredParts) > 0 || len(changes.PartStates) > 0 {
 		reports = append(reports, changes)
@@ -49,10 +49,22 @@
 	return err == nil
 }
 
-// snapshot returns the states of prompt parts, the unexplained crashes and the answered suspects.
-func (s *Suspects) snapshot() []knapweedpulley.SuspectReport {
+// Fetch takes over what another member knows.
+func (s *Suspects) Fetch(ctx context.Context, fetcher knapweedpulley.SuspectFetcher, from knapweedpulley.Member) error {
+	reports, err := fetcher.FetchSuspects(ctx, from)
+	for _, r := range reports {
+		s.Merge(r)
+	}
+	return err
+}
+
+// Snapshot implements knapweedpulley.SuspectStore. It returns the states of prompt parts, the
+// unexplained crashes and the answered suspects. The crashes have their age, as a refusal that
+// isn't settled is told only by them.
+func (s *Suspects) Snapshot() []knapweedpulley.SuspectReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.Clock.Now()
 	var reports []knapweedpulley.SuspectReport
 	if states := s.states.all(); len(states) > 0 {
 		reports = append(reports, knapweedpulley.SuspectReport{PartStates: states})
@@ -64,7 +76,7 @@
 		if c.explainedBy(settled) {
 			continue
 		}
-		r := knapweedpulley.SuspectReport{Endpoint: id.endpoint, Start: id.start}
+		r := knapweedpulley.SuspectReport{Endpoint: id.endpoint, Start: id.start, Age: now.Sub(c.at)}
 		for f, held := range c.contents {
 			if held {
 				r.Fingerprints = append(r.Fingerprints, f)
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -88,6 +88,9 @@
 	r := &h.admission.Route
 	h.deadline = h.call.Arrived.Add(min(h.call.Timeout, r.Timeout))
 	h.lastEventID = h.call.LastEvent
+	if err := h.awaitStartup(ctx); err != nil {
+		return err
+	}
 	if err := h.checkShutdown(); err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	Clock        knapweedpulley.Clock
 	Log          log.Interface
 	Meter        *Meter
+	// Startup, if it is set, is waited for by calls.
+	Startup *Startup
 }
 
 // Gateway serves calls.
--- a/link/suspects.go
+++ b/link/suspects.go
@@ -41,14 +41,7 @@
 func (s *SuspectSender) SendSuspects(
 	ctx context.Context, to knapweedpulley.Member, r knapweedpulley.SuspectReport,
 ) error {
-	message := &linkpb.SuspectsRequest{
-		Endpoint: string(r.Endpoint), Start: r.Start, Isolated: r.Isolated,
-		Fingerprints:     encodeFingerprints(r.Fingerprints),
-		Parts:            encodeFingerprints(r.Parts),
-		AnsweredContents: encodeFingerprints(r.AnsweredContents),
-		AnsweredParts:    encodeFingerprints(r.AnsweredParts),
-		PartStates:       encodePartStates(r.PartStates),
-	}
+	message := encodeSuspects(r)
 	err := s.attempt(ctx, to.Address, message)
 	for n := 1; n < maxSuspectAttempts && err != nil && !errors.Is(err, knapweedpulley.ErrNoListener); n++ {
 		if machine.Pause(ctx, suspectRetryDelay) != nil {
@@ -80,33 +73,90 @@
 	return err
 }
 
-// suspectServer passes the suspect reports of other entry processes to a merger.
+// FetchSuspects implements knapweedpulley.SuspectFetcher. It makes one attempt. A member that doesn't
+// know the method has nothing to tell.
+func (s *SuspectSender) FetchSuspects(
+	ctx context.Context, from knapweedpulley.Member,
+) ([]knapweedpulley.SuspectReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, suspectAttemptTimeout)
+	defer cancel()
+	s.connections.DiscardFailed(from.Address)
+	conn, err := s.connections.To(from.Address)
+	if err != nil {
+		return nil, err
+	}
+	m, err := linkpb.NewSuspectServiceClient(conn).FetchSuspects(ctx, &linkpb.FetchSuspectsRequest{})
+	switch code := grpcstatus.Code(err); {
+	case err == nil:
+	case code == codes.Unimplemented:
+		return nil, nil
+	case code == codes.Unavailable && machine.RefusesConnections(ctx, &net.Dialer{}, from.Address):
+		return nil, knapweedpulley.ErrNoListener
+	default:
+		return nil, errors.Wrapf(err, "fetch suspects from %s", from.Entry)
+	}
+	reports := make([]knapweedpulley.SuspectReport, 0, len(m.GetReports()))
+	for _, r := range m.GetReports() {
+		reports = append(reports, decodeSuspects(r))
+	}
+	return reports, nil
+}
+
+// suspectServer exchanges the suspect reports of a store with other entry processes.
 type suspectServer struct {
 	linkpb.UnimplementedSuspectServiceServer
-	merger knapweedpulley.SuspectMerger
+	store knapweedpulley.SuspectStore
 }
 
 // RegisterSuspects registers the service that passes the suspect reports of other
-// entry processes to merger.
-func RegisterSuspects(r grpc.ServiceRegistrar, merger knapweedpulley.SuspectMerger) {
-	linkpb.RegisterSuspectServiceServer(r, &suspectServer{merger: merger})
+// entry processes to store, and its reports to them.
+func RegisterSuspects(r grpc.ServiceRegistrar, store knapweedpulley.SuspectStore) {
+	linkpb.RegisterSuspectServiceServer(r, &suspectServer{store: store})
 }
 
 // SendSuspects implements linkpb.SuspectServiceServer.
 func (s *suspectServer) SendSuspects(
 	_ context.Context, m *linkpb.SuspectsRequest,
 ) (*linkpb.SuspectsResponse, error) {
-	s.merger.Merge(knapweedpulley.SuspectReport{
+	s.store.Merge(decodeSuspects(m))
+	return &linkpb.SuspectsResponse{}, nil
+}
+
+// FetchSuspects implements linkpb.SuspectServiceServer.
+func (s *suspectServer) FetchSuspects(
+	context.Context, *linkpb.FetchSuspectsRequest,
+) (*linkpb.FetchSuspectsResponse, error) {
+	reports := s.store.Snapshot()
+	m := &linkpb.FetchSuspectsResponse{Reports: make([]*linkpb.SuspectsRequest, 0, len(reports))}
+	for _, r := range reports {
+		m.Reports = append(m.Reports, encodeSuspects(r))
+	}
+	return m, nil
+}
+
+func encodeSuspects(r knapweedpulley.SuspectReport) *linkpb.SuspectsRequest {
+	return &linkpb.SuspectsRequest{
+		Endpoint: string(r.Endpoint), Start: r.Start, Isolated: r.Isolated, AgeNanoseconds: int64(r.Age),
+		Fingerprints:     encodeFingerprints(r.Fingerprints),
+		Parts:            encodeFingerprints(r.Parts),
+		AnsweredContents: encodeFingerprints(r.AnsweredContents),
+		AnsweredParts:    encodeFingerprints(r.AnsweredParts),
+		PartStates:       encodePartStates(r.PartStates),
+	}
+}
+
+func decodeSuspects(m *linkpb.SuspectsRequest) knapweedpulley.SuspectReport {
+	return knapweedpulley.SuspectReport{
 		Endpoint:         knapweedpulley.EndpointID(m.GetEndpoint()),
 		Start:            m.GetStart(),
 		Isolated:         m.GetIsolated(),
+		Age:              time.Duration(m.GetAgeNanoseconds()),
 		Fingerprints:     decodeFingerprints[knapweedpulley.Fingerprint](m.GetFingerprints()),
 		Parts:            decodeFingerprints[knapweedpulley.PartFingerprint](m.GetParts()),
 		AnsweredContents: decodeFingerprints[knapweedpulley.Fingerprint](m.GetAnsweredContents()),
 		AnsweredParts:    decodeFingerprints[knapweedpulley.PartFingerprint](m.GetAnsweredParts()),
 		PartStates:       decodePartStates(m.GetPartStates()),
-	})
-	return &linkpb.SuspectsResponse{}, nil
+	}
 }
 
 func encodeFingerprints[T ~uint64](list []T) []uint64 {
--- a/link/suspects_test.go
+++ b/link/suspects_test.go
@@ -19,6 +19,8 @@
 type recordedSuspects struct {
 	reports   chan knapweedpulley.SuspectReport
 	interrupt atomic.Pointer[func()]
+	// known is what others are told.
+	known []knapweedpulley.SuspectReport
 }
 
 // Merge implements knapweedpulley.SuspectMerger.
@@ -29,6 +31,9 @@
 	}
 }
 
+// Snapshot implements knapweedpulley.SuspectStore.
+func (s *recordedSuspects) Snapshot() []knapweedpulley.SuspectReport { return s.known }
+
 // assertReportArrives requires that a report arrives and is confirmed although the
 // connection of an earlier one fails.
 func assertReportArrives(t *testing.T, fail func(*faultyProxy, *recordedSuspects)) {
@@ -84,3 +89,29 @@
 		is.True(errors.Is(err, knapweedpulley.ErrNoListener))
 	})
 }
+
+func TestSuspectsAreFetched(t *testing.T) {
+	fetch := func(t *testing.T, register func(grpc.ServiceRegistrar)) ([]knapweedpulley.SuspectReport, error) {
+		t.Helper()
+		server, closeServer, err := link.NewServer("127.0.0.1:0", nil, register)
+		is.New(t).NoErr(err)
+		t.Cleanup(closeServer)
+		connections, closeConnections := link.NewConnections(nil)
+		t.Cleanup(closeConnections)
+		return link.NewSuspectSender(connections).FetchSuspects(t.Context(), knapweedpulley.Member{Entry: "two", Address: server.Address()})
+	}
+	t.Run("all that another gateway knows arrives, with the age of the crashes", func(t *testing.T) {
+		known := []knapweedpulley.SuspectReport{
+			{PartStates: []knapweedpulley.PartState{{Part: 5, Round: 2, Probes: 1}}},
+			{Endpoint: "e", Start: 1, Age: 3 * time.Second, Parts: []knapweedpulley.PartFingerprint{1, 2}},
+		}
+		got, err := fetch(t, func(r grpc.ServiceRegistrar) { link.RegisterSuspects(r, &recordedSuspects{known: known}) })
+		is.New(t).NoErr(err)
+		is.New(t).Equal(got, known)
+	})
+	t.Run("a gateway of an earlier version, which doesn't know the call, has nothing to tell", func(t *testing.T) {
+		got, err := fetch(t, func(grpc.ServiceRegistrar) {})
+		is.New(t).NoErr(err)
+		is.New(t).Equal(len(got), 0)
+	})
+}
--- a/suspect.go
+++ b/suspect.go
@@ -1,6 +1,9 @@
 package knapweedpulley
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // SuspectState says whether a request content may have crashed an engine.
 type SuspectState int
@@ -22,7 +25,9 @@
 	Endpoint EndpointID
 	// Start is the engine start that ended in the crash; with Endpoint it
 	// identifies the crash, so that a repeated report counts once.
-	Start        uint64
+	Start uint64
+	// Age is the time since the crash was first reported to the sender. It is zero in a first report.
+	Age          time.Duration
 	Fingerprints []Fingerprint
 	// Parts are the shared prompt parts of the requests.
 	Parts []PartFingerprint
