Bound the clean-up of a gateway

Ruled out: a single slow step. Steps can wait for others for a second (the synchronization of suspects) or two (open calls at the server for links).

Change: the clean-up ends 0.2 s before the grace period does, and logs the step that it leaves; what is left to close ends with the process. Log lines are written after it in any case. Slow steps are logged. The synchronization of suspects is broken off by the clean-up instead of waited for.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -43,7 +43,7 @@
 	// lingerTime is how long connections without a request stay open after the listener is closed,
 	// so that what callers have just sent over them is read and answered.
 	lingerTime = 500 * time.Millisecond
-	// exitMargin is the time reserved between the last answer and SIGKILL.
+	// exitMargin is the time reserved between the last answer and SIGKILL, for the clean-up and the exit.
 	exitMargin = 700 * time.Millisecond
 	// cutMargin is the time reserved before exitMargin to answer the requests that are cut.
 	cutMargin = 300 * time.Millisecond
@@ -65,9 +65,12 @@
 
 // process is a running gateway.
 type process struct {
-	settings   Settings
-	log        log.Interface
-	cleanups   program.Cleanups
+	settings Settings
+	log      log.Interface
+	cleanups program.Cleanups
+	// flush writes the log lines that still wait, after the clean-ups. step is the one that began last.
+	flush      knapweedpulley.Cleanup
+	step       atomic.Pointer[string]
 	follower   *installation.Follower
 	fleet      *fleet.Fleet
 	placer     *placement.Placer
@@ -103,10 +106,11 @@
 		serveDone:   make(chan struct{}),
 		connections: web.NewConnections(),
 	}
-	p.cleanups.Add(flush)
+	p.flush = flush
 	if err := p.build(); err != nil {
 		p.log.WithError(err).Error("gateway failed to start; exiting")
 		p.cleanups.Run()
+		flush()
 		return program.Process{}, err
 	}
 	p.log.WithField("zone", s.Zone).WithField("callers", s.Callers).Info("gateway started")
@@ -120,13 +124,13 @@
 	if err != nil {
 		return err
 	}
-	p.cleanups.Add(closeStore)
+	p.cleanups.Add(p.timed("store", closeStore))
 	scope, metrics, closeMetrics := metric.New("gateway", p.settings.ID)
-	p.cleanups.Add(closeMetrics)
+	p.cleanups.Add(p.timed("metrics", closeMetrics))
 	pool, closePool := exchange.NewPool()
 	connections, closeConnections := link.NewConnections(nil)
 	demand, closeDemand := placement.NewDemand()
-	p.cleanups.Add(closePool, closeConnections, closeDemand)
+	p.cleanups.Add(p.timed("pool", closePool), p.timed("connections", closeConnections), p.timed("demand", closeDemand))
 	p.fleet = fleet.New(clock, p.settings.Zone)
 	self := knapweedpulley.Member{
 		Entry: knapweedpulley.EntryID(p.settings.ID), Incarnation: knapweedpulley.Incarnation(clock.Now()),
@@ -141,11 +145,11 @@
 		Permission: p.term,
 	})
 	p.placer = placer
-	p.cleanups.Add(closePlacer)
+	p.cleanups.Add(p.timed("placer", closePlacer))
 	// The subscriptions have connections of their own, because they close those that have
 	// stopped delivering data.
 	feeds, closeFeeds := link.NewConnections(nil)
-	p.cleanups.Add(closeFeeds)
+	p.cleanups.Add(p.timed("feeds", closeFeeds))
 	follower, closeFollower := installation.NewFollower(installation.Options{
 		Self: self, Peers: p.peers, Link: link.NewConfigurationClient(feeds),
 		Objects: objects, Decoder: platform.InstallationDecoder{}, Clock: clock, Log: p.log,
@@ -172,14 +176,22 @@
 		return err
 	}
 	// The follower is closed first: that ends the feeds of other gateways, for which the links wait.
-	p.cleanups.Add(closeLinks, closeFollower)
-	p.cleanups.Add(machine.Every(sweepPeriod, pool.Sweep), machine.Every(gatewayCountPeriod, p.updateGatewayCount))
+	p.cleanups.Add(p.timed("links", closeLinks), p.timed("follower", closeFollower))
+	p.startTimers(pool)
 	if err := p.serveReadinessAndMetrics(metrics); err != nil {
 		return err
 	}
 	return p.serveCallers()
 }
 
+// startTimers starts what the process does periodically.
+func (p *process) startTimers(pool *exchange.Pool) {
+	p.cleanups.Add(
+		p.timed("sweep", machine.Every(sweepPeriod, pool.Sweep)),
+		p.timed("gatewayCount", machine.Every(gatewayCountPeriod, p.updateGatewayCount)),
+	)
+}
+
 // buildShares constructs what the gateway shares with the others, and the list of them.
 func (p *process) buildShares(clock knapweedpulley.Clock, self knapweedpulley.Member) {
 	p.term, p.held = term.New(clock), true
@@ -214,13 +226,26 @@
 	connections, closeConnections := link.NewConnections(nil)
 	sender := link.NewSuspectSender(connections)
 	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{Group: p.peers, Peer: sender, Clock: clock, Log: p.log})
-	p.cleanups.Add(closeConnections, machine.Every(suspectSyncPeriod, func() { syncSuspects(suspects) }))
+	p.cleanups.Add(
+		p.timed("suspectConnections", closeConnections),
+		p.timed("suspectSync", syncRegularly(suspects)),
+	)
 	return suspects, sender
 }
 
-// syncSuspects tells the other gateways what they don't know of the suspects of crashes.
-func syncSuspects(suspects *endpoint.Suspects) {
-	ctx, cancel := context.WithTimeout(context.Background(), suspectSyncTimeout)
+// syncRegularly tells the other gateways regularly what they don't know of the suspects of crashes. The
+// clean-up doesn't wait for those that don't answer.
+func syncRegularly(suspects *endpoint.Suspects) knapweedpulley.Cleanup {
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := machine.Every(suspectSyncPeriod, func() { syncSuspects(ctx, suspects) })
+	return func() {
+		cancel()
+		stop()
+	}
+}
+
+func syncSuspects(ctx context.Context, suspects *endpoint.Suspects) {
+	ctx, cancel := context.WithTimeout(ctx, suspectSyncTimeout)
 	defer cancel()
 	suspects.Sync(ctx)
 }
@@ -269,14 +294,14 @@
 	if err != nil {
 		return err
 	}
-	p.cleanups.Add(closeReady)
+	p.cleanups.Add(p.timed("ready", closeReady))
 	closeMetrics, err := web.Serve(p.settings.Metrics, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	})
 	if err != nil {
 		return err
 	}
-	p.cleanups.Add(closeMetrics)
+	p.cleanups.Add(p.timed("metricsServer", closeMetrics))
 	return nil
 }
 
@@ -341,5 +366,5 @@
 	p.connections.AwaitEnd(end)
 	_ = p.server.Close()
 	p.log.WithField("tookMs", time.Since(began).Milliseconds()).WithField("cut", !ended).Info("gateway stopped")
-	p.cleanups.Run()
+	p.cleanUp(began.Add(time.Duration(p.settings.Grace) - exitTime))
 }
--- a/cmd/gateway/startup.go
+++ b/cmd/gateway/startup.go
@@ -22,7 +22,7 @@
 		Fetch: func(ctx context.Context, from knapweedpulley.Member) error { return suspects.Fetch(ctx, sender, from) },
 	})
 	p.startup = startup
-	p.cleanups.Add(end)
+	p.cleanups.Add(p.timed("startup", end))
 }
 
 // gatewayLister returns a function that returns the gateways that the keepers list so far, and whether
