Describe the runs in violations of the soak

The messages on requests that were cut or ran too often gave the number of runs only, and the soak doesn't keep their records. They now tell where and when each run was, its status and its end. No check is changed.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -64,7 +64,7 @@
 		cluster.recorder.RecordViolation("%s request %s ran at %d endpoints, want at most %d", o.Kind, o.ID, len(endpoints), maxEndpoints)
 	}
 	if n := len(runs); n > maxEndpoints && (n > maxEndpoints+1 || !returned(runs)) {
-		cluster.recorder.RecordViolation("%s request %s ran %d times, want at most %d runs", o.Kind, o.ID, n, maxEndpoints)
+		cluster.recorder.RecordViolation("%s request %s ran %d times, want at most %d runs: %v", o.Kind, o.ID, n, maxEndpoints, runs)
 	}
 	refusals := []int{
 		http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
@@ -145,8 +145,8 @@
 	}
 	for _, r := range runs {
 		if r.Status == http.StatusOK && (r.End == RunCompleted || r.End == RunCanceled) {
-			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s (%d runs)",
-				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End, len(runs))
+			cluster.recorder.RecordViolation("%s request %s at %s was cut with status %d after %s while endpoint %s was sound and its run was %s: %v",
+				o.Kind, o.ID, o.Gateway.name, o.Status, o.Elapsed, r.Endpoint, r.End, runs)
 		}
 	}
 }
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -69,6 +69,11 @@
 	endpoint *Endpoint
 }
 
+// String returns where the run was and how it ended, for the description of a violation.
+func (r Run) String() string {
+	return fmt.Sprintf("%s at %s with status %d, %s", r.Endpoint, r.StartedAt.Format("04:05.000"), r.Status, r.End)
+}
+
 // Recorder collects the runs of requests at all endpoints, and the violations that the
 // soak found.
 type Recorder struct {
