Return moved calls to endpoints that only seemed gone

It was cut though that endpoint was sound, if - its registration had lapsed and come back, because the fleet then has another object for the same run of the endpoint, or - it wanted no requests for a moment (Retry-After).

Ruled out: another endpoint, as the route's limit is on endpoints. Not done: canceling the first exchange only once the second endpoint has answered, which needs care for requests that run twice.

Change: the endpoint is looked up by id and start, and the call waits for the end of its hold if the caller is still there then. The log's notRetried is "away" if the endpoint can't be returned to, and "runs" as before otherwise.

Runs: TestMovedCallReturnsToEndpointThatWasAway failed in both cases without the changes, each by its own; TestMovedCallDoesNotWaitInVain without the bound. Tests of gateway and fleet passed with -race.

--- a/gateway/endreason_test.go
+++ b/gateway/endreason_test.go
@@ -71,6 +71,16 @@
 		assertIncomplete(t, answer, err, "1 1 ")
 		assertLogged(t, &logs, "runs", "")
 	})
+	inBubble("because the endpoint that it had left wants no requests", t, func(t *testing.T) {
+		var logs logBuffer
+		d, x := breakingSecond()
+		d.logs = &logs
+		g := d.newGateway(t)
+		time.AfterFunc(movedWithin, func() { g.Fleet.Endpoints()[x.attempts()[0]].HoldBack(time.Minute) })
+		answer, err := serveCall(t, g)
+		assertIncomplete(t, answer, err, "1 ")
+		assertLogged(t, &logs, "away", "")
+	})
 }
 
 func TestLogTellsWhySilentCallStayed(t *testing.T) {
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -38,6 +38,7 @@
 		// The endpoint may have turned out to have crashed.
 		return h.denyRun()
 	}
+	h.awaitReturn(ctx)
 	if knapweedpulley.VerdictOf(err) == knapweedpulley.NotRun && !h.hasRunOut() {
 		h.refusals++
 		if h.refusals >= h.maxRefusals() {
@@ -90,8 +91,10 @@
 func (h *callHandler) denyRun() string {
 	r := &h.admission.Route
 	switch {
-	case r.Retry == knapweedpulley.AtMostOnce || (h.hasRunOut() && !h.mayReturn()):
+	case r.Retry == knapweedpulley.AtMostOnce || (h.hasRunOut() && h.left == nil):
 		return "runs"
+	case h.hasRunOut() && !h.mayReturn():
+		return "away"
 	case h.CrashTracker.Check(h.call) != nil:
 		return "crashes"
 	default:
@@ -107,7 +110,39 @@
 // mayReturn reports whether the call may run again at the endpoint that it was moved away from. Routes
 // limit the number of endpoints, and the gateway, not that endpoint, ended the run there.
 func (h *callHandler) mayReturn() bool {
-	return h.left != nil && h.Fleet.Offers(h.left, h.need())
+	if h.left == nil {
+		return false
+	}
+	h.left = h.Fleet.Current(h.left)
+	return h.Fleet.Offers(h.left, h.need())
+}
+
+// awaitReturn waits until the endpoint to which alone the call may return takes requests again, if it
+// wants none for a while and the call can be answered in time then.
+func (h *callHandler) awaitReturn(ctx context.Context) {
+	if h.left == nil || !h.hasRunOut() || h.admission.Route.Retry == knapweedpulley.AtMostOnce {
+		return
+	}
+	ctx, cancel := h.waitContext(ctx)
+	defer cancel()
+	latest := h.callerPatienceEnd().Add(-firstEventReserve)
+	for {
+		changed := h.Fleet.Changed()
+		h.left = h.Fleet.Current(h.left)
+		until, held := h.left.HeldUntil()
+		if !held || until.After(latest) || h.left.Departing() {
+			return
+		}
+		timer := time.NewTimer(until.Sub(h.Clock.Now()))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
 }
 
 // recordDenial records why there is no further attempt of a call that was sent before.
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -429,6 +429,69 @@
 	})
 }
 
+// breakingSecond returns a deployment of streams whose first endpoint stays silent, and whose second one
+// breaks the stream off 400 ms after the call has moved there.
+func breakingSecond() (deployment, *scriptedExchanger) {
+	return streamDeployment(scriptedAnswer{silence: time.Minute, events: []string{"1"}},
+		scriptedAnswer{silence: 400 * time.Millisecond, events: []string{"1"}, broken: true},
+		scriptedAnswer{events: []string{"2"}})
+}
+
+// movedWithin is the time within which such a call has moved.
+const movedWithin = 1400 * time.Millisecond
+
+// A call that could not return to the endpoint that it had left was cut, though that endpoint was sound.
+func TestMovedCallReturnsToEndpointThatWasAway(t *testing.T) {
+	// serve changes something while the call runs at its new endpoint, where it fails.
+	serve := func(t *testing.T, change func(d deployment, g *gateway.Gateway, left knapweedpulley.EndpointID)) {
+		t.Helper()
+		d, x := breakingSecond()
+		d.objects = d.newStore(t)
+		g := d.newGateway(t)
+		var group sync.WaitGroup
+		group.Go(func() {
+			answer, err := serveCall(t, g)
+			assertAnswered(t, answer, err, "1 2 ")
+		})
+		time.Sleep(movedWithin)
+		is.New(t).Equal(len(x.attempts()), 2)
+		change(d, g, x.attempts()[0])
+		group.Wait()
+		assertReturned(t, x)
+	}
+	inBubble("whose registration has lapsed and come back", t, func(t *testing.T) {
+		serve(t, func(d deployment, _ *gateway.Gateway, left knapweedpulley.EndpointID) {
+			is := is.New(t)
+			entry, err := d.objects.Get(t.Context(), knapweedpulley.KindEndpoints, string(left))
+			is.NoErr(err)
+			_, err = d.objects.Delete(t.Context(), knapweedpulley.KindEndpoints, string(left), entry.Revision)
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			_, err = d.objects.Put(t.Context(), knapweedpulley.KindEndpoints, string(left), entry.Value, 0)
+			is.NoErr(err)
+		})
+	})
+	inBubble("that wants no requests for a moment", t, func(t *testing.T) {
+		serve(t, func(_ deployment, g *gateway.Gateway, left knapweedpulley.EndpointID) {
+			is.New(t).True(g.Fleet.Endpoints()[left].HoldBack(600 * time.Millisecond))
+		})
+	})
+}
+
+func TestMovedCallDoesNotWaitInVain(t *testing.T) {
+	inBubble("for an endpoint that wants no requests until the caller has left", t, func(t *testing.T) {
+		d, x := breakingSecond()
+		g := d.newGateway(t)
+		time.AfterFunc(movedWithin, func() { g.Fleet.Endpoints()[x.attempts()[0]].HoldBack(time.Minute) })
+		began := time.Now()
+		_, err := serveCall(t, g)
+		is := is.New(t)
+		is.True(errors.Is(err, gateway.ErrIncompleteAnswer))
+		is.True(time.Since(began) <= movedWithin+400*time.Millisecond)
+		is.Equal(len(x.attempts()), 2)
+	})
+}
+
 // assertReturned asserts that a call was sent to an endpoint, to another one, and to the first again.
 func assertReturned(t *testing.T, x *scriptedExchanger) {
 	t.Helper()
