Bound what a gateway that starts asks of the others

Cause: with 103 gateways, one that starts asked 102 others at once, each of which can answer with 64 crashes of 256 contents and 512 prompt parts (400 KB), and judged the prompt parts anew after each report.

Change: it asks until eight have answered, as all gateways tell each other what they know. The reports of an answer are merged before the parts are judged.

Runs: the new case of gateway.TestStartedGatewayKnowsWhatOthersRefuse fails without the bound, and if a complete list is waited for nevertheless. fleet.TestListedGateways is new and guards against a list of keepers that have just started being taken for a complete one.

--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -192,12 +192,17 @@
 func (s *Suspects) Merge(r knapweedpulley.SuspectReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed, cleared, added := s.mergeStates(r.PartStates), s.clear(r), s.addCrash(r)
-	if changed || cleared || added {
+	if s.merge(r) {
 		s.update()
 	}
 }
 
+// merge adds a report and reports whether the prompt parts have to be judged anew.
+func (s *Suspects) merge(r knapweedpulley.SuspectReport) bool {
+	changed, cleared, added := s.mergeStates(r.PartStates), s.clear(r), s.addCrash(r)
+	return changed || cleared || added
+}
+
 // addCrash adds the suspects of a crash and reports whether one of them is new.
 func (s *Suspects) addCrash(r knapweedpulley.SuspectReport) bool {
 	if len(r.Fingerprints) == 0 && len(r.Parts) == 0 {
--- a/endpoint/suspectsync.go
+++ b/endpoint/suspectsync.go
@@ -52,8 +52,14 @@
 // Fetch takes over what another member knows.
 func (s *Suspects) Fetch(ctx context.Context, fetcher knapweedpulley.SuspectFetcher, from knapweedpulley.Member) error {
 	reports, err := fetcher.FetchSuspects(ctx, from)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
 	for _, r := range reports {
-		s.Merge(r)
+		changed = s.merge(r) || changed
+	}
+	if changed {
+		s.update()
 	}
 	return err
 }
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -209,3 +211,39 @@
 		})
 	})
 }
+
+func TestListedGateways(t *testing.T) {
+	list := func(f *rosterFixture) ([]knapweedpulley.EntryID, bool) {
+		gateways, complete := fleet.ListedGateways(fake.Clock{}.Now(), slices.Collect(maps.Values(f.fleet.Endpoints())))
+		var ids []knapweedpulley.EntryID
+		for _, g := range gateways {
+			ids = append(ids, g.Entry)
+		}
+		slices.Sort(ids)
+		return ids, complete
+	}
+	assertListed := func(f *rosterFixture, wantComplete bool, want ...knapweedpulley.EntryID) {
+		f.t.Helper()
+		ids, complete := list(f)
+		is.New(f.t).Equal(ids, want)
+		is.New(f.t).Equal(complete, wantComplete)
+	}
+	withRoster("gateways are listed before the list is complete", t, func(f *rosterFixture) {
+		assertListed(f, false)
+		f.report("a", settling, "x", "y")
+		assertListed(f, false, "x", "y")
+	})
+	withRoster("keepers that have just started don't make the list complete", t, func(f *rosterFixture) {
+		for _, e := range []knapweedpulley.EndpointID{"a", "b", "c", "d"} {
+			f.report(e, settling, "x")
+		}
+		assertListed(f, false, "x")
+	})
+	withRoster("the list is complete once most keepers have settled", t, func(f *rosterFixture) {
+		f.report("a", time.Minute, "x", "y")
+		f.report("b", time.Minute, "x", "z")
+		assertListed(f, false, "x", "y", "z")
+		f.report("c", time.Minute, "x")
+		assertListed(f, true, "x", "y", "z")
+	})
+}
--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -20,6 +20,9 @@
 	startupPollPeriod = 25 * time.Millisecond
 	// maxFetchAttempts bounds the attempts to ask one gateway, which may be frozen.
 	maxFetchAttempts = 3
+	// maxAskedGateways bounds the gateways whose answers are awaited or have arrived. All gateways tell
+	// each other what they know, and an answer can have 400 KB.
+	maxAskedGateways = 8
 )
 
 // StartupOptions holds the dependencies of a startup.
@@ -74,7 +77,7 @@
 	return s.began.Add(startupTimeout)
 }
 
-// run asks each gateway that is listed until there are no others, or ctx ends.
+// run asks the gateways that are listed until enough have answered or there are no others, or ctx ends.
 func (s *Startup) run(ctx context.Context) {
 	complete := false
 	defer func() {
@@ -88,7 +91,7 @@
 		var gateways []knapweedpulley.Member
 		gateways, complete = s.Listed()
 		for _, g := range gateways {
-			if !asked.Has(g.Entry) {
+			if !asked.Has(g.Entry) && open+int(s.fetched.Load()) < maxAskedGateways {
 				asked.Add(g.Entry)
 				open++
 				go func() {
@@ -100,7 +103,7 @@
 				}()
 			}
 		}
-		if complete && open == 0 {
+		if open == 0 && (complete || s.fetched.Load() >= maxAskedGateways) {
 			return
 		}
 		timer := time.NewTimer(startupPollPeriod)
--- a/gateway/startup_test.go
+++ b/gateway/startup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -132,6 +133,19 @@
 		assertServedWithin(t, calls, 500*time.Millisecond)
 		is.New(t).Equal(p.fetches.Load(), int32(1))
 	})
+	inBubble("of many gateways, only as many are asked as it takes for eight to answer", t, func(t *testing.T) {
+		p := newRefusingPeers()
+		for i := range 30 {
+			p.listed = append(p.listed, knapweedpulley.Member{Entry: knapweedpulley.EntryID(strconv.Itoa(i))})
+		}
+		p.fetchError, p.failures, p.complete = knapweedpulley.ErrNoListener, 5, false
+		calls, x := startGateway(t, p)
+		began := time.Now()
+		assertCrashSuspect(t, calls.serve(t, "system", deadlyPart))
+		is.New(t).Equal(x.arrived, 0)
+		is.New(t).Equal(p.fetches.Load(), int32(13))
+		is.New(t).True(time.Since(began) < time.Second) // The list needn't be complete then.
+	})
 	inBubble("a gateway without others doesn't wait for any", t, func(t *testing.T) {
 		p := newRefusingPeers()
 		p.listed, p.listedAfter = p.listed[:1], 0
