Serve refused contents again that endpoints answer with 3xx or 4xx

Cause: only an answer with a status below 300 cleared a content that had run at two crashes. A sound request for which there is nothing at its path stayed refused, but for one probe a minute.

Change: a content is cleared by an answer with status 300 to 499 as well, but for 408, 421, 425 and 429, with which an endpoint can refuse a request that it hasn't looked at. Prompt parts are not cleared by these.

Runs: gateway.TestContentThatRanAtCrashesIsProbed failed in its new case on 404 without the change, and in that on 429 without the exceptions. Tests of gateway passed with -race.

--- a/gateway/contentprobe_test.go
+++ b/gateway/contentprobe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +21,8 @@
 	// arrived counts the attempts, of which the first ones crash endpoints.
 	arrived int
 	crashes int
+	// answer is what they send then.
+	answer scriptedAnswer
 }
 
 // Exchange implements knapweedpulley.Exchanger.
@@ -27,7 +30,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.arrived++
-	answer := scriptedAnswer{events: []string{"1"}}
+	answer := x.answer
 	if x.arrived <= x.crashes {
 		answer = scriptedAnswer{broken: true}
 	}
@@ -44,11 +47,23 @@
 	}, &recordedAnswer{})
 }
 
+// assertServedAgain asserts that a refused content is served after some seconds, and from then on.
+func assertServedAgain(t *testing.T, g *gateway.Gateway) {
+	t.Helper()
+	for range 20 {
+		_ = serveContent(t, g)
+		time.Sleep(time.Second)
+	}
+	for range 5 {
+		is.New(t).NoErr(serveContent(t, g))
+	}
+}
+
 func TestContentThatRanAtCrashesIsProbed(t *testing.T) {
-	start := func(t *testing.T, crashes int) (*gateway.Gateway, *contentExchanger) {
+	start := func(t *testing.T, crashes int, answer scriptedAnswer) (*gateway.Gateway, *contentExchanger) {
 		t.Helper()
 		d, _ := crashingDeployment()
-		x := &contentExchanger{crashes: crashes}
+		x := &contentExchanger{crashes: crashes, answer: answer}
 		d.exchanger = x
 		g := d.newGateway(t)
 		for range 5 {
@@ -59,15 +74,24 @@
 		return g, x
 	}
 	inBubble("a sound content is served again", t, func(t *testing.T) {
-		g, _ := start(t, 2)
-		for range 20 {
+		g, _ := start(t, 2, scriptedAnswer{events: []string{"1"}})
+		assertServedAgain(t, g)
+	})
+	inBubble("a content for which there is nothing at its path is answered so again", t, func(t *testing.T) {
+		g, _ := start(t, 2, scriptedAnswer{status: http.StatusNotFound, body: "nothing there"})
+		assertServedAgain(t, g)
+	})
+	inBubble("a content that endpoints only refuse isn't", t, func(t *testing.T) {
+		g, x := start(t, 2, scriptedAnswer{status: http.StatusTooManyRequests, body: "busy"})
+		for range 30 {
 			_ = serveContent(t, g)
 			time.Sleep(time.Second)
 		}
-		is.New(t).NoErr(serveContent(t, g))
+		is.New(t).Equal(x.arrived, 3)
+		assertCrashSuspect(t, serveContent(t, g))
 	})
 	inBubble("a content that crashes endpoints reaches two more of them, however long it comes", t, func(t *testing.T) {
-		g, x := start(t, 1000)
+		g, x := start(t, 1000, scriptedAnswer{})
 		for range 3600 {
 			_ = serveContent(t, g)
 			time.Sleep(time.Second)
--- a/gateway/crashtracker.go
+++ b/gateway/crashtracker.go
@@ -119,6 +119,13 @@
 	c.suspectList.RecordAnswer(call.Fingerprint, call.SharedFingerprints())
 }
 
+// RecordContentAnswer records that an endpoint has answered a call with a status that tells of its
+// content, as one that there is nothing at its path. It says nothing of the parts of a prompt, which the
+// endpoint may not have run.
+func (c *CrashTracker) RecordContentAnswer(call *knapweedpulley.Call) {
+	c.suspectList.RecordAnswer(call.Fingerprint, nil)
+}
+
 // HasCrashed reports whether an endpoint is known to refuse connections, as after a crash.
 func (c *CrashTracker) HasCrashed(ctx context.Context, e *fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, answerCheckTimeout)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -144,8 +144,11 @@
 	case err == nil && h.status >= http.StatusInternalServerError:
 		return fleet.Failed
 	case err == nil:
-		if h.status < http.StatusMultipleChoices && !empty {
+		switch {
+		case h.status < http.StatusMultipleChoices && !empty:
 			h.CrashTracker.RecordAnswer(h.call)
+		case isAnswerToContent(h.status):
+			h.CrashTracker.RecordContentAnswer(h.call)
 		}
 		return fleet.Answered
 	case errors.Is(err, errEndpointFailed):
@@ -155,6 +158,17 @@
 	}
 }
 
+// isAnswerToContent reports whether an endpoint that answers with the status has run the request. It
+// may refuse others before it has looked at them.
+func isAnswerToContent(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false
+	default:
+		return status >= http.StatusMultipleChoices && status < http.StatusInternalServerError
+	}
+}
+
 // judgeFailure returns the endpoint's outcome after a broken exchange, and handles a possible
 // crash. An exchange that ended because of the caller or the deadline isn't held against the
 // endpoint, which may have crashed nevertheless.
