Accept the connections that wait before a gateway's listener is closed

Cause: closing the listener resets the connections that callers have made and that the gateway hasn't accepted yet.

Change: before it closes the listener, the gateway waits until none waits to be accepted, for at most 0.25 s.

Runs: machine.TestPendingConnections guards the look at the listener.

--- a/cmd/gateway/cleanup.go
+++ b/cmd/gateway/cleanup.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"net"
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/machine"
 )
 
 const (
@@ -12,8 +14,23 @@
 	exitTime = 200 * time.Millisecond
 	// slowStep is the time from which on a step of the clean-up is logged.
 	slowStep = 50 * time.Millisecond
+	// acceptTime bounds the wait for connections that callers have made to be accepted. A process that
+	// got no processor time for a while can have some.
+	acceptTime = 250 * time.Millisecond
+	// acceptPollPeriod is the time between two looks for them.
+	acceptPollPeriod = 5 * time.Millisecond
 )
 
+// awaitAccepted waits until no connection to the listener waits to be accepted, for at most acceptTime
+// and until end. Closing the listener resets these connections, over which callers may have sent requests.
+func awaitAccepted(l net.Listener, end time.Time) {
+	for until := time.Now().Add(acceptTime); machine.HasPending(l); time.Sleep(acceptPollPeriod) {
+		if now := time.Now(); now.After(until) || now.After(end) {
+			return
+		}
+	}
+}
+
 // timed returns the clean-up of a component, which logs if it is slow.
 func (p *process) timed(step string, cleanup knapweedpulley.Cleanup) knapweedpulley.Cleanup {
 	return func() {
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -355,6 +355,7 @@
 	now := p.clock.Now()
 	p.gateway.BeginShutdown(now.Add(deregistrationTime), now.Add(time.Until(cut)))
 	time.Sleep(min(deregistrationTime, time.Until(cut)))
+	awaitAccepted(p.listener, cut)
 	_ = p.listener.Close()
 	<-p.serveDone
 	time.Sleep(min(lingerTime, time.Until(cut)))
