--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -43,7 +43,7 @@
 	// lingerTime is how long connections without a request stay open after the listener is closed,
 	// so that what callers have just sent over them is read and answered.
 	lingerTime = 500 * time.Millisecond
-	// exitMargin is the time reserved between the last answer and SIGKILL.
+	// exitMargin is the time reserved between the last answer and SIGKILL, for the clean-up and the exit.
 	exitMargin = 700 * time.Millisecond
 	// cutMargin is the time reserved before exitMargin to answer the requests that are cut.
 	cutMargin = 300 * time.Millisecond
@@ -73,9 +73,12 @@
 
 // process is a running gateway.
 type process struct {
-	settings   Settings
-	log        log.Interface
-	cleanups   program.Cleanups
+	settings Settings
+	log      log.Interface
+	cleanups program.Cleanups
+	// flush writes the log lines that still wait, after the clean-ups. step is the one that began last.
+	flush      knapweedpulley.Cleanup
+	step       atomic.Pointer[string]
 	follower   *installation.Follower
 	fleet      *fleet.Fleet
 	placer     *placement.Placer
@@ -90,6 +93,7 @@
 	budget    *gateway.RetryBudget
 	peers     *gateway.Peers
 	gateway   *gateway.Gateway
+	startup   *gateway.Startup
 	clock     knapweedpulley.Clock
 	ingress   *platform.Ingress
 	listener  net.Listener
@@ -114,10 +118,11 @@
 		connections: web.NewConnections(),
 		guard:       web.NewMachineGuard(s.MemoryMB, s.MaxFDs),
 	}
-	p.cleanups.Add(flush)
+	p.flush = flush
 	if err := p.build(); err != nil {
 		p.log.WithError(err).Error("gateway failed to start; exiting")
 		p.cleanups.Run()
+		flush()
 		return program.Process{}, err
 	}
 	p.log.WithField("zone", s.Zone).WithField("callers", s.Callers).Info("gateway started")
@@ -131,20 +136,20 @@
 	if err != nil {
 		return err
 	}
-	p.cleanups.Add(closeStore)
+	p.cleanups.Add(p.timed("store", closeStore))
 	scope, metrics, closeMetrics := metric.New("gateway", p.settings.ID)
-	p.cleanups.Add(closeMetrics)
+	p.cleanups.Add(p.timed("metrics", closeMetrics))
 	pool, closePool := exchange.NewPool()
 	connections, closeConnections := link.NewConnections(nil)
 	demand, closeDemand := placement.NewDemand()
-	p.cleanups.Add(closePool, closeConnections, closeDemand)
+	p.cleanups.Add(p.timed("pool", closePool), p.timed("connections", closeConnections), p.timed("demand", closeDemand))
 	p.fleet = fleet.New(clock, p.settings.Zone)
 	self := knapweedpulley.Member{
 		Entry: knapweedpulley.EntryID(p.settings.ID), Incarnation: knapweedpulley.Incarnation(clock.Now()),
 		Zone: p.settings.Zone, Address: p.settings.Links,
 	}
 	p.buildShares(clock, self)
-	suspects := p.newSuspects(clock)
+	suspects, sender := p.newSuspects(clock)
 	exchanger := platform.NewExchanger(pool)
 	placer, closePlacer := placement.NewPlacer(placement.Options{
 		Fleet: p.fleet, Demand: demand, Link: link.NewKeepers(connections), Exchanger: exchanger, Clock: clock, Log: p.log,
@@ -152,11 +157,11 @@
 		Permission: p.term,
 	})
 	p.placer = placer
-	p.cleanups.Add(closePlacer)
+	p.cleanups.Add(p.timed("placer", closePlacer))
 	// The subscriptions have connections of their own, because they close those that have
 	// stopped delivering data.
 	feeds, closeFeeds := link.NewConnections(nil)
-	p.cleanups.Add(closeFeeds)
+	p.cleanups.Add(p.timed("feeds", closeFeeds))
 	follower, closeFollower := installation.NewFollower(installation.Options{
 		Self: self, Peers: p.peers, Link: link.NewConfigurationClient(feeds), Evacuations: p.settings.EvacuationTime > 0,
 		Objects: objects, Decoder: platform.InstallationDecoder{}, Clock: clock, Log: p.log,
@@ -165,12 +170,13 @@
 	p.follower = follower
 	p.clock = clock
 	meter := gateway.NewMeter(scope)
+	p.beginStartup(suspects, sender)
 	p.gateway = gateway.New(gateway.Options{
 		Follower: follower, Fleet: p.fleet, Placer: placer, Demand: demand,
 		RateLimiter:  gateway.NewRateLimiter(p.allowances, link.NewAllowanceBorrower(connections), p.peers, clock, p.log),
 		CrashTracker: gateway.NewCrashTracker(suspects, exchanger, p.fleet, p.log),
 		RetryBudget:  p.budget, HoldPolicy: holdback.Spread{}, Exchanger: exchanger, Clock: clock, Log: p.log,
-		Meter: meter,
+		Meter: meter, Startup: p.startup,
 	})
 	p.ingress = platform.NewIngress(p.gateway, clock, p.guard)
 	_, closeLinks, err := link.NewServer(p.settings.Links, nil, func(r grpc.ServiceRegistrar) {
@@ -183,9 +189,9 @@
 		return err
 	}
 	// The follower is closed first: that ends the feeds of other gateways, for which the links wait.
-	p.cleanups.Add(closeLinks, closeFollower)
+	p.cleanups.Add(p.timed("links", closeLinks), p.timed("follower", closeFollower))
 	p.cleanups.Add(machine.Every(web.ReportPeriod, func() { p.guard.Report(scope, p.log) }))
-	p.cleanups.Add(machine.Every(sweepPeriod, pool.Sweep), machine.Every(gatewayCountPeriod, p.updateGatewayCount))
+	p.startTimers(pool)
 	p.reportEvacuations(meter)
 	return p.serve(metrics)
 }
@@ -198,6 +204,14 @@
 	return p.serveCallers()
 }
 
+// startTimers starts what the process does periodically.
+func (p *process) startTimers(pool *exchange.Pool) {
+	p.cleanups.Add(
+		p.timed("sweep", machine.Every(sweepPeriod, pool.Sweep)),
+		p.timed("gatewayCount", machine.Every(gatewayCountPeriod, p.updateGatewayCount)),
+	)
+}
+
 // buildShares constructs what the gateway shares with the others, and the list of them.
 func (p *process) buildShares(clock knapweedpulley.Clock, self knapweedpulley.Member) {
 	p.term, p.held = term.New(clock), true
@@ -261,18 +275,30 @@
 
 // newSuspects returns the list of suspects of crashes, with connections of its own, and keeps the
 // other gateways up to date.
-func (p *process) newSuspects(clock knapweedpulley.Clock) *endpoint.Suspects {
+func (p *process) newSuspects(clock knapweedpulley.Clock) (*endpoint.Suspects, *link.SuspectSender) {
 	connections, closeConnections := link.NewConnections(nil)
-	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{
-		Group: p.peers, Peer: link.NewSuspectSender(connections), Clock: clock, Log: p.log,
-	})
-	p.cleanups.Add(closeConnections, machine.Every(suspectSyncPeriod, func() { syncSuspects(suspects) }))
-	return suspects
+	sender := link.NewSuspectSender(connections)
+	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{Group: p.peers, Peer: sender, Clock: clock, Log: p.log})
+	p.cleanups.Add(
+		p.timed("suspectConnections", closeConnections),
+		p.timed("suspectSync", syncRegularly(suspects)),
+	)
+	return suspects, sender
+}
+
+// syncRegularly tells the other gateways regularly what they don't know of the suspects of crashes. The
+// clean-up doesn't wait for those that don't answer.
+func syncRegularly(suspects *endpoint.Suspects) knapweedpulley.Cleanup {
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := machine.Every(suspectSyncPeriod, func() { syncSuspects(ctx, suspects) })
+	return func() {
+		cancel()
+		stop()
+	}
 }
 
-// syncSuspects tells the other gateways what they don't know of the suspects of crashes.
-func syncSuspects(suspects *endpoint.Suspects) {
-	ctx, cancel := context.WithTimeout(context.Background(), suspectSyncTimeout)
+func syncSuspects(ctx context.Context, suspects *endpoint.Suspects) {
+	ctx, cancel := context.WithTimeout(ctx, suspectSyncTimeout)
 	defer cancel()
 	suspects.Sync(ctx)
 }
@@ -353,20 +379,20 @@
 	if err != nil {
 		return err
 	}
-	p.cleanups.Add(closeReady)
+	p.cleanups.Add(p.timed("ready", closeReady))
 	closeMetrics, err := p.guard.Serve(p.settings.Metrics, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
 	})
 	if err != nil {
 		return err
 	}
-	p.cleanups.Add(closeMetrics)
+	p.cleanups.Add(p.timed("metricsServer", closeMetrics))
 	return nil
 }
 
 // ready answers a readiness probe.
 func (p *process) ready(w http.ResponseWriter, _ *http.Request) {
-	if p.stopping.Load() || !p.follower.Usable() {
+	if p.stopping.Load() || !p.follower.Usable() || !p.startup.Ended() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -415,6 +441,7 @@
 	now := p.clock.Now()
 	p.gateway.BeginShutdown(now.Add(deregistrationTime), now.Add(time.Until(cut)))
 	time.Sleep(min(deregistrationTime, time.Until(cut)))
+	awaitAccepted(p.listener, cut)
 	_ = p.listener.Close()
 	<-p.serveDone
 	time.Sleep(min(lingerTime, time.Until(cut)))
@@ -426,5 +453,5 @@
 	p.connections.AwaitEnd(end)
 	_ = p.server.Close()
 	p.log.WithField("tookMs", time.Since(began).Milliseconds()).WithField("cut", !ended).Info("gateway stopped")
-	p.cleanups.Run()
+	p.cleanUp(began.Add(time.Duration(p.settings.Grace) - exitTime))
 }
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -51,7 +51,7 @@
 	moved bool
 	// left is the endpoint that the call was moved away from, until the call returns to it.
 	left *fleet.Endpoint
-	// probe is set during an attempt that is made though a part of the prompt is refused, probed
+	// probe is set during an attempt that is made though the content or a part of the prompt is refused, probed
 	// from then on.
 	probe  bool
 	probed bool
@@ -97,6 +97,9 @@
 	r := &h.admission.Route
 	h.deadline = h.call.Arrived.Add(min(h.call.Timeout, r.Timeout))
 	h.lastEventID = h.call.LastEvent
+	if err := h.awaitStartup(ctx); err != nil {
+		return err
+	}
 	if err := h.checkShutdown(); err != nil {
 		return err
 	}
@@ -236,9 +239,7 @@
 // probe.
 func (h *callHandler) checkSuspects() error {
 	err := h.CrashTracker.Check(h.call)
-	suspects := h.CrashTracker.suspectList
-	if err != nil && suspects.State(h.call.Fingerprint) != knapweedpulley.SuspectRefuse &&
-		suspects.MayProbe(h.call.SharedFingerprints()) {
+	if err != nil && h.CrashTracker.MayProbe(h.call) {
 		return nil
 	}
 	return err
