--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -44,6 +44,8 @@
 	// parts are the prompt parts that are suspects of a crash, or refused.
 	parts   knapweedpulley.Set[knapweedpulley.PartFingerprint]
 	refused map[knapweedpulley.PartFingerprint]*refusedPart
+	// refusedContents are keyed by contentKey.
+	refusedContents map[knapweedpulley.PartFingerprint]*refusedPart
 }
 
 // Suspects implements knapweedpulley.PromptSuspectList. Reports are merged by their
@@ -61,9 +63,13 @@
 	crashes    map[crashID]*crash
 	crashOrder []crashID
 	refused    map[knapweedpulley.PartFingerprint]*refusedPart
-	states     *partStates
-	// notified holds, for each crash, the number of suspects in the last report
-	// that was sent to the other members. A later report can name more suspects.
+	// refusedContents are keyed by contentKey, as their states are.
+	refusedContents map[knapweedpulley.PartFingerprint]*refusedPart
+	// contentProbes are the probes of this member whose results aren't known yet.
+	contentProbes map[knapweedpulley.Fingerprint]contentProbe
+	states        *partStates
+	// notified holds, for each crash, the number of suspects that were known when a
+	// report was last sent to the other members. A later report can name more suspects.
 	notified map[crashID]int
 	// answered and the changes in states are what the other members haven't been told of yet.
 	answered knapweedpulley.SuspectReport
@@ -78,6 +84,7 @@
 		SuspectOptions: o,
 		crashes:        make(map[crashID]*crash),
 		refused:        make(map[knapweedpulley.PartFingerprint]*refusedPart),
+		contentProbes:  make(map[knapweedpulley.Fingerprint]contentProbe),
 		states:         newPartStates(),
 		notified:       make(map[crashID]int),
 		synced:         make(knapweedpulley.Set[knapweedpulley.MemberID]),
@@ -128,7 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range parts {
-		if r := s.refused[p]; r != nil && s.states.returnProbe(p) {
+		if r := s.refused[p]; r != nil && s.states.returnProbe(p, maxReturnedProbes) {
 			r.probes.Store(s.states.countedProbes(p))
 		}
 	}
@@ -185,12 +192,17 @@
 func (s *Suspects) Merge(r knapweedpulley.SuspectReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed, cleared, added := s.mergeStates(r.PartStates), s.clear(r), s.addCrash(r)
-	if changed || cleared || added {
+	if s.merge(r) {
 		s.update()
 	}
 }
 
+// merge adds a report and reports whether the prompt parts have to be judged anew.
+func (s *Suspects) merge(r knapweedpulley.SuspectReport) bool {
+	changed, cleared, added := s.mergeStates(r.PartStates), s.clear(r), s.addCrash(r)
+	return changed || cleared || added
+}
+
 // addCrash adds the suspects of a crash and reports whether one of them is new.
 func (s *Suspects) addCrash(r knapweedpulley.SuspectReport) bool {
 	if len(r.Fingerprints) == 0 && len(r.Parts) == 0 {
@@ -199,9 +211,14 @@
 	id := crashID{endpoint: r.Endpoint, start: r.Start}
 	c := s.crashes[id]
 	if c == nil {
-		c = newCrash(s.Clock.Now())
+		c = newCrash(s.Clock.Now().Add(-max(0, r.Age)))
 		s.crashes[id] = c
-		s.crashOrder = append(s.crashOrder, id)
+		// The crashes that another member tells of may be older than those known here.
+		i := len(s.crashOrder)
+		for i > 0 && s.crashes[s.crashOrder[i-1]].at > c.at {
+			i--
+		}
+		s.crashOrder = slices.Insert(s.crashOrder, i, id)
 		s.evictOldest()
 	}
 	return c.add(r)
@@ -259,20 +276,14 @@
 		case later:
 			r.adopted = true
 		}
-		if r := s.refused[p]; r != nil {
-			if n := s.states.countedProbes(p); n > r.probes.Load() {
-				r.setProbes(n, now)
-			} else {
-				r.probes.Store(n)
-			}
-		}
+		s.setCountedProbes(p, now)
 		changed = changed || later
 	}
 	return changed
 }
 
-// settle records the refusals that only an answer can end from now on, for the other
-// members. A refusal that other evidence may still end isn't sent to them.
+// settle records the refusals that only an answer can end from now on, and the results of
+// probes, for the other members. A refusal that other evidence may still end isn't sent to them.
 func (s *Suspects) settle() {
 	now := s.Clock.Now()
 	for p, r := range s.refused {
@@ -280,6 +291,7 @@
 			s.states.refuse(p)
 		}
 	}
+	s.settleContentProbes()
 }
 
 // settled returns the refused parts that the other members are told of.
@@ -403,6 +415,8 @@
 		v.parts.Add(p)
 		v.refused[p] = r
 	}
+	s.refuseContents(v.contents)
+	v.refusedContents = s.refusedContents
 	s.view.Store(v)
 }
 
@@ -421,7 +435,7 @@
 // once, and again when more suspects of it are known.
 func (s *Suspects) Report(ctx context.Context, r knapweedpulley.SuspectReport) {
 	s.Merge(r)
-	if !s.startNotification(crashID{endpoint: r.Endpoint, start: r.Start}, len(r.Fingerprints)+len(r.Parts)) {
+	if !s.startNotification(crashID{endpoint: r.Endpoint, start: r.Start}) {
 		return
 	}
 	var group sync.WaitGroup
@@ -431,14 +445,16 @@
 	group.Wait()
 }
 
-// startNotification reports whether a crash with that many suspects has yet to be
-// sent to the other members, and if so records it as sent.
-func (s *Suspects) startNotification(c crashID, suspects int) bool {
+// startNotification reports whether a crash has suspects that have yet to be sent to the
+// other members, and if so records them as sent. Two reports of a crash can name equally
+// many suspects and not the same ones.
+func (s *Suspects) startNotification(id crashID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if suspects <= s.notified[c] {
+	c := s.crashes[id]
+	if c == nil || len(c.contents)+len(c.parts) <= s.notified[id] {
 		return false
 	}
-	s.notified[c] = suspects
+	s.notified[id] = len(c.contents) + len(c.parts)
 	return true
 }
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/pace"
 	"github.com/knapweedpulley/knapweedpulley/warmup"
 )
 
@@ -72,12 +73,13 @@
 	silentAt  atomic.Int64
 	// leaving is set once the endpoint has said that it is leaving.
 	leaving atomic.Bool
+	pace    *pace.Member
 	// warmUp outlives a restart of the endpoint.
 	warmUp *warmup.Endpoint
 }
 
 func newEndpoint(id knapweedpulley.EndpointID, clock knapweedpulley.Clock, w *warmup.Endpoint) *Endpoint {
-	return &Endpoint{id: id, clock: clock, warmUp: w}
+	return &Endpoint{id: id, clock: clock, pace: pace.NewMember(id), warmUp: w}
 }
 
 // ID returns the endpoint's id.
@@ -171,6 +173,9 @@
 func (e *Endpoint) Observe(l knapweedpulley.EndpointLoad) {
 	l.Running, l.Waiting = bounded(l.Running), bounded(l.Waiting)
 	e.load.Store(&receivedLoad{EndpointLoad: l, active: e.active.Load()})
+	if p, known := l.Pace.Get(); known {
+		e.pace.State(p, e.clock.Now())
+	}
 }
 
 // setReport stores a keeper's report. If the keeper read the endpoint after it refused
@@ -218,6 +223,7 @@
 	prompt     int64
 	prefilling atomic.Bool
 	ticket     warmup.Ticket
+	sampler    eventSampler
 }
 
 // BeginRequest counts a request with the given number of prompt tokens as active. It returns false if
@@ -271,6 +277,7 @@
 func (r *ActiveRequest) End(o Outcome) {
 	r.PromptProcessed()
 	r.active.Add(-1)
+	r.recordPaceOutcome(o)
 	switch o {
 	case Answered:
 		r.brokenInRow.Store(0)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/pace"
 )
 
 // index is an immutable snapshot of the fleet.
@@ -51,6 +52,8 @@
 	mu         sync.Mutex
 	departures departures
 	warmUps    warmUps
+	paceGroups atomic.Pointer[paceGroups]
+	paceReport atomic.Pointer[func(pace.Change)]
 }
 
 // New returns an empty fleet, seen from a zone.
@@ -86,6 +89,7 @@
 		next[r.ID] = e
 	}
 	f.warmUps.retain(last.byID, next, f.clock.Now())
+	f.updatePace(next)
 	f.replace(last, next)
 }
 
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -51,7 +51,7 @@
 	moved bool
 	// left is the endpoint that the call was moved away from, until the call returns to it.
 	left *fleet.Endpoint
-	// probe is set during an attempt that is made though a part of the prompt is refused, probed
+	// probe is set during an attempt that is made though the content or a part of the prompt is refused, probed
 	// from then on.
 	probe  bool
 	probed bool
@@ -67,6 +67,8 @@
 	status       int
 	waited       time.Duration
 	firstLatency time.Duration
+	// sentAt is when the last attempt began.
+	sentAt knapweedpulley.Instant
 	// longestGap is the longest time between two events, lastEventAt the arrival of the last one.
 	longestGap  time.Duration
 	lastEventAt knapweedpulley.Instant
@@ -74,6 +76,9 @@
 	loadAtChoice int
 	// coldSends counts the attempts at endpoints that were cold.
 	coldSends int
+	// expectation is what the call could expect at that endpoint, absent if its service's endpoints
+	// don't state their pace.
+	expectation knapweedpulley.Option[fleet.Expectation]
 	// stalls counts the attempts that were canceled because the endpoint sent nothing for too long.
 	stalls int
 	// notRetried says why the call was not sent again after its last attempt, notMoved why it last
@@ -92,6 +97,9 @@
 	r := &h.admission.Route
 	h.deadline = h.call.Arrived.Add(min(h.call.Timeout, r.Timeout))
 	h.lastEventID = h.call.LastEvent
+	if err := h.awaitStartup(ctx); err != nil {
+		return err
+	}
 	if err := h.checkShutdown(); err != nil {
 		return err
 	}
@@ -231,9 +239,7 @@
 // probe.
 func (h *callHandler) checkSuspects() error {
 	err := h.CrashTracker.Check(h.call)
-	suspects := h.CrashTracker.suspectList
-	if err != nil && suspects.State(h.call.Fingerprint) != knapweedpulley.SuspectRefuse &&
-		suspects.MayProbe(h.call.SharedFingerprints()) {
+	if err != nil && h.CrashTracker.MayProbe(h.call) {
 		return nil
 	}
 	return err
@@ -293,6 +299,8 @@
 	start := h.Clock.Now()
 	defer func() { h.waited += h.Clock.Now().Sub(start) }()
 	need := h.need()
+	// An endpoint that isn't sound may fail the call, which needs a second attempt then.
+	need.MayProbe = h.sends == 0 && h.admission.Route.Retry != knapweedpulley.AtMostOnce
 	if visit, begun := h.Fleet.Begin(need); begun {
 		return visit, nil
 	}
@@ -457,6 +465,8 @@
 		Priority:   h.admission.Priority,
 		TargetTime: h.call.Arrived.Add(h.admission.Route.LatencyTarget),
 		Deadline:   until,
+
+		EventGapTarget: h.eventGapTarget(),
 	}
 }
 
@@ -468,6 +478,8 @@
 		Prompt:  h.call.Prompt,
 		Size:    h.call.Prompt + h.call.Completion,
 		Avoid:   h.avoid,
+
+		EventGapTarget: h.eventGapTarget(),
 	}
 	for i, part := range h.call.PromptParts {
 		// The last part of the prompt is specific to the request or its session.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	Clock        knapweedpulley.Clock
 	Log          log.Interface
 	Meter        *Meter
+	// Startup, if it is set, is waited for by calls.
+	Startup *Startup
 }
 
 // Gateway serves calls.
@@ -61,6 +63,9 @@
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o}
 	g.shutdownBegan, g.beginShutdown = context.WithCancel(context.Background())
+	if o.Fleet != nil {
+		o.Fleet.ObservePace(g.recordPaceChange)
+	}
 	return g
 }
 
@@ -124,6 +129,10 @@
 		entry = entry.WithField("queue", h.queueVisit.outcome).WithField("queuedAt", h.queueVisit.holder).
 			WithField("queuedMs", h.queueVisit.waited.Milliseconds())
 	}
+	if x, paced := h.expectation.Get(); paced {
+		entry = entry.WithField("pacePercent", percent(x.Pace)).
+			WithField("expectedFirstMs", x.FirstEvent.Milliseconds()).WithField("expectedPauseMs", x.Pause.Milliseconds())
+	}
 	var refusal *knapweedpulley.Refusal
 	switch {
 	case err == nil:
--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -28,6 +28,8 @@
 	// calmRate is the rate of the small customers, of which they use calmShare.
 	calmRate  = 2_600
 	calmShare = 0.6
+	// replayTick is the time between two rounds of a replay.
+	replayTick = 200 * time.Millisecond
 	// firstAnswerTime is the part of an objective that is left for the first answer.
 	firstAnswerTime = 200 * time.Millisecond
 	// atOnce is the longest time in which a refusal counts as told at once: two holders are asked, and the one
@@ -116,15 +118,19 @@
 	var list []*loadCall
 	pause := float64(l.minimum+l.maximum) / 2 / (l.rate * float64(len(f.customers))) * float64(time.Second)
 	next, began, faults := time.Now(), time.Now(), l.faults
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
+	for step := time.Now(); time.Since(began) < d; step = step.Add(replayTick) {
+		time.Sleep(time.Until(step))
 		for ; len(faults) > 0 && time.Since(began) >= faults[0].after; faults = faults[1:] {
+			f.mu.Lock()
 			faults[0].do()
+			f.mu.Unlock()
 		}
 		f.step()
-		for ; !next.After(time.Now()); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
-			g := f.gateways[0]
+		for ; next.Before(step.Add(replayTick)); next = next.Add(time.Duration(f.random.ExpFloat64() * pause)) {
+			time.Sleep(time.Until(next))
+			g, again := f.gateways[0], f.gateways[0]
 			if !l.oneGateway {
-				g = f.gateways[f.random.IntN(len(f.gateways))]
+				g, again = f.gateways[f.random.IntN(len(f.gateways))], f.gateways[f.random.IntN(len(f.gateways))]
 			}
 			if g.frozen {
 				continue
@@ -135,7 +141,7 @@
 			}
 			list = append(list, c)
 			fingerprint := f.nextFingerprint()
-			calls.Go(func() { f.call(g, c, l, fingerprint) })
+			calls.Go(func() { f.call(g, again, c, l, fingerprint) })
 			synctest.Wait()
 		}
 	}
@@ -149,7 +155,7 @@
 		select {
 		case <-ended:
 			open = false
-		case <-time.After(tick):
+		case <-time.After(replayTick):
 		}
 	}
 	for _, customer := range f.customers {
@@ -158,8 +164,9 @@
 	return list
 }
 
-// call sends a request, and sends it again once if its caller can wait for the time that it is told.
-func (f *cutFleet) call(g *cutGateway, c *loadCall, l load, fingerprint knapweedpulley.Fingerprint) {
+// call sends a request, and sends it again once, to another gateway, if its caller can wait for the time that it is
+// told.
+func (f *cutFleet) call(g, again *cutGateway, c *loadCall, l load, fingerprint knapweedpulley.Fingerprint) {
 	r := l.routes[c.route]
 	began := time.Now()
 	err := f.acquire(g, r, c, fingerprint)
@@ -175,13 +182,10 @@
 	}
 	c.came = true
 	time.Sleep(c.returnAfter)
-	again := g
-	if !l.oneGateway {
-		f.mu.Lock()
-		again = f.gateways[f.random.IntN(len(f.gateways))]
-		f.mu.Unlock()
-	}
-	if c.second = !again.frozen && f.acquire(again, r, c, fingerprint) == nil; c.second {
+	f.mu.Lock()
+	frozen := again.frozen
+	f.mu.Unlock()
+	if c.second = !frozen && f.acquire(again, r, c, fingerprint) == nil; c.second {
 		f.admit(c.customer, c.tokens)
 	}
 }
--- a/suspect.go
+++ b/suspect.go
@@ -1,6 +1,9 @@
 package knapweedpulley
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // SuspectState says whether a request content may have crashed an engine.
 type SuspectState int
@@ -22,7 +25,9 @@
 	Endpoint EndpointID
 	// Start is the engine start that ended in the crash; with Endpoint it
 	// identifies the crash, so that a repeated report counts once.
-	Start        uint64
+	Start uint64
+	// Age is the time since the crash was first reported to the sender. It is zero in a first report.
+	Age          time.Duration
 	Fingerprints []Fingerprint
 	// Parts are the shared prompt parts of the requests.
 	Parts []PartFingerprint
@@ -85,6 +90,11 @@
 	// ReturnProbe records that no engine ran the request of a probe, so that another one may
 	// be sent. Once a part's probe has been returned, its others count.
 	ReturnProbe(parts []PartFingerprint)
+	// MayProbeContent reports whether TryProbeContent would allow a request now.
+	MayProbeContent(f Fingerprint) bool
+	// TryProbeContent reports whether a request may be sent now, though its content is
+	// refused, to find out whether it still crashes engines. It counts the probe.
+	TryProbeContent(f Fingerprint) bool
 	// RecordAnswer records that an engine has answered a request to its end, which
 	// clears its content and parts.
 	RecordAnswer(f Fingerprint, parts []PartFingerprint)
