--- a/web/web.go
+++ b/web/web.go
@@ -1,5 +1,5 @@
 // Package web serves HTTP with the router of go-zero's rest package, so that only the
-// handlers decide on a request.
+// handlers decide on a request. A [Guard] limits what the clients of a process's servers hold.
 //
 // The engine of rest can time out or shed a request, open a circuit breaker, and refuse
 // or decompress a body on its own. Each of these would end a request without a verdict.
@@ -9,7 +9,8 @@
 // # Usage
 //
 //	routes := []rest.Route{{Method: http.MethodGet, Path: "/health", Handler: health}}
-//	cleanup, err := web.Serve("127.0.0.1:8080", nil, routes)
+//	guard := web.NewMachineGuard(settings.MemoryMB, settings.MaxFDs)
+//	cleanup, err := guard.ServeCallers("127.0.0.1:8080", routes)
 package web
 
 import (
