Keep adapter slots for late orders when a model is loaded or unloaded

An order for a model brings the engine's sequence number closer to that of a late order for an adapter, as one for an adapter does, but the keeper checked its memory alone. The late order then exceeded the adapter slots. The keeper now unloads an idle adapter first, or waits. An engine without adapter slots is not affected. Also formats gateway/evacuation_test.go.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -301,7 +301,7 @@
 			return strings.Count(logs.String(), "has no requests of this gateway any more")
 		}
 		request, begun := f.Endpoints()["1"].BeginRequest(1)
-	is.True(begun)
+		is.True(begun)
 		is.Equal(lines(), 0)
 		evacuate(f, "1")
 		is.Equal(lines(), 0)
--- a/keeper/fakes_test.go
+++ b/keeper/fakes_test.go
@@ -321,6 +321,8 @@
 	// demands is sent with each note of the gateways.
 	mu      sync.Mutex
 	demands []knapweedpulley.ModelDemand
+	// adapterSlots is the number of the engine's adapter slots that gateways send once they connect.
+	adapterSlots int
 }
 
 // setDemands sets the demands that the gateways send from now on.
@@ -342,7 +344,7 @@
 	t.Helper()
 	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f := &fixture{t: t, engine: &engine{id: "i-1", start: 1, disk: []knapweedpulley.ModelID{"a", "b", "c"}}}
+			f := &fixture{t: t, adapterSlots: engineSpec().AdapterSlots, engine: &engine{id: "i-1", start: 1, disk: []knapweedpulley.ModelID{"a", "b", "c"}}}
 			for _, id := range []knapweedpulley.ModelID{"a", "b"} {
 				f.engine.models = append(f.engine.models,
 					knapweedpulley.LoadedModel{Model: id, State: knapweedpulley.StateLoaded})
@@ -382,6 +384,7 @@
 func (f *fixture) connect(id knapweedpulley.EntryID) func() {
 	s := &stream{notes: make(chan knapweedpulley.GatewayMessage), ended: make(chan struct{})}
 	f.stream = s
+	adapterSlots := f.adapterSlots
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -390,7 +393,9 @@
 	stop := make(chan struct{})
 	go func() {
 		defer close(s.ended)
-		first := knapweedpulley.Some(engineSpec())
+		spec := engineSpec()
+		spec.AdapterSlots = adapterSlots
+		first := knapweedpulley.Some(spec)
 		for {
 			n := knapweedpulley.GatewayMessage{
 				Gateway: knapweedpulley.Member{Entry: id}, Sent: fake.Clock{}.Now(), Endpoint: f.engine.currentID(), Engine: first, HasDemands: true, Demands: f.currentDemands(),
--- a/keeper/lateorders_test.go
+++ b/keeper/lateorders_test.go
@@ -139,6 +139,75 @@
 		time.Sleep(20 * time.Second)
 		f.assertHolds("a", "v", true)
 	})
+	// Guards against orders for models that bring the sequence number to that of a late order for an
+	// adapter while all slots are in use.
+	runInBubble("one late order behind the load of a model", t, func(f *fixture) {
+		f.delayAdapter()
+		f.engine.restart("i-1")
+		f.fillAdapterSlots()
+		f.requestLoad("c", "", 20*time.Second)
+		time.Sleep(20 * time.Second)
+		f.assertHolds("c", "", true)
+	})
+	runInBubble("one late order behind the unload of a model, the keeper has restarted", t, func(f *fixture) {
+		f.delayAdapter("x")
+		f.engine.restart("i-1")
+		f.fillAdapterSlots()
+		f.requestLoad("b", "", 5*time.Second)
+		time.Sleep(2 * time.Second)
+		f.assertHolds("b", "", true)
+		f.restartKeeper()
+		f.requestLoad("c", "", 20*time.Second)
+		time.Sleep(20 * time.Second)
+		f.assertHolds("c", "", true)
+	})
+	runInBubble("an engine without adapter slots unloads models beside a late order", t, func(f *fixture) {
+		f.engine.restart("i-1")
+		f.setDemands(demand("a", 1, 0))
+		for _, m := range []knapweedpulley.ModelID{"a", "b"} {
+			f.requestLoad(m, "", 5*time.Second)
+			time.Sleep(2 * time.Second)
+			f.assertHolds(m, "", true)
+		}
+		f.adapterSlots = 0
+		f.restartKeeper()
+		f.requestLoad("c", "", 20*time.Second)
+		time.Sleep(2 * time.Second)
+		f.assertHolds("b", "", false)
+	})
+}
+
+// delayAdapter has the load of the adapter z of a arrive late, after four orders for models and the
+// loads of other adapters.
+func (f *fixture) delayAdapter(others ...knapweedpulley.AdapterID) {
+	f.t.Helper()
+	f.setDemands(demand("a", 1, 0))
+	time.Sleep(time.Second)
+	for _, m := range []knapweedpulley.ModelID{"c", "b"} {
+		f.requestLoad(m, "", 5*time.Second)
+		time.Sleep(2 * time.Second)
+		f.assertHolds(m, "", true)
+	}
+	for _, a := range others {
+		f.requestLoad("a", a, time.Second)
+		time.Sleep(300 * time.Millisecond)
+	}
+	f.engine.delayLoads(orderDelay)
+	f.requestLoad("a", "z", 150*time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	f.assertLate(knapweedpulley.Resident{Model: "a", Adapter: "z"}, uint64(4+len(others)))
+}
+
+// fillAdapterSlots has the restarted engine hold a with two other adapters, after three orders.
+func (f *fixture) fillAdapterSlots() {
+	f.t.Helper()
+	f.requestLoad("a", "", 5*time.Second)
+	time.Sleep(1400 * time.Millisecond)
+	for _, a := range []knapweedpulley.AdapterID{"x", "y"} {
+		f.requestLoad("a", a, 5*time.Second)
+		time.Sleep(300 * time.Millisecond)
+		f.assertHolds("a", a, true)
+	}
 }
 
 // restartInUse restarts the engine after a late order at sequence number 2, and has it hold a,
--- a/keeper/plan.go
+++ b/keeper/plan.go
@@ -126,7 +126,7 @@
 }
 
 // orderFor returns the next order towards loading a model or adapter: the load
-// itself, or an unload that frees memory. It returns false if none can be issued.
+// itself, or an unload that frees memory or an adapter slot. It returns false if none can be issued.
 func (k *Keeper) orderFor(resident knapweedpulley.Resident) (knapweedpulley.EngineOrder, bool) {
 	if k.reading.Busy || k.loading != nil {
 		return knapweedpulley.EngineOrder{}, false
@@ -139,7 +139,12 @@
 		return knapweedpulley.EngineOrder{}, false
 	}
 	model := knapweedpulley.Resident{Model: resident.Model}
-	if k.freeMemory()-k.reserve(model).memory >= spec.Size {
+	reserved := k.reserve(model)
+	if k.adapterSlotsShort(reserved) {
+		// Any order may be the last one before a late order for an adapter is carried out.
+		return k.unloadIdleAdapter()
+	}
+	if k.freeMemory()-reserved.memory >= spec.Size {
 		return k.newOrder(knapweedpulley.OrderLoadModel, model), true
 	}
 	victim, found := k.evictionCandidate()
@@ -150,20 +155,30 @@
 }
 
 // orderForAdapter returns the order that loads an adapter or, if memory or
-// adapter slots are used up, unloads the idle adapter with the lowest request
-// rate.
+// adapter slots are used up, unloads another one.
 func (k *Keeper) orderForAdapter(resident knapweedpulley.Resident) (knapweedpulley.EngineOrder, bool) {
-	count := 0
+	for _, m := range k.reading.Models {
+		if m.Model == resident.Model && slices.ContainsFunc(m.Adapters, func(a knapweedpulley.LoadedAdapter) bool { return a.Adapter == resident.Adapter }) {
+			// The adapter is already being loaded.
+			return knapweedpulley.EngineOrder{}, false
+		}
+	}
+	reserved := k.reserve(resident)
+	if k.adapterCount()+reserved.slots < k.spec.AdapterSlots &&
+		k.freeMemory()-reserved.memory >= k.spec.Models[resident.Model].AdapterSize {
+		return k.newOrder(knapweedpulley.OrderLoadAdapter, resident), true
+	}
+	return k.unloadIdleAdapter()
+}
+
+// unloadIdleAdapter returns the order that unloads the idle adapter with the lowest request
+// rate. It returns false if there is none that may be unloaded.
+func (k *Keeper) unloadIdleAdapter() (knapweedpulley.EngineOrder, bool) {
 	var victim knapweedpulley.Option[knapweedpulley.Resident]
 	least := 0.0
 	for _, m := range k.reading.Models {
-		count += len(m.Adapters)
 		for _, a := range m.Adapters {
 			r := knapweedpulley.Resident{Model: m.Model, Adapter: a.Adapter}
-			if r == resident {
-				// The adapter is already being loaded.
-				return knapweedpulley.EngineOrder{}, false
-			}
 			u := k.residentUsage(r)
 			if u.active > 0 || a.State != knapweedpulley.StateLoaded {
 				continue
@@ -173,17 +188,27 @@
 			}
 		}
 	}
-	reserved := k.reserve(resident)
-	if count+reserved.slots < k.spec.AdapterSlots &&
-		k.freeMemory()-reserved.memory >= k.spec.Models[resident.Model].AdapterSize {
-		return k.newOrder(knapweedpulley.OrderLoadAdapter, resident), true
-	}
 	if r, found := victim.Get(); found && k.mayUnload(r) {
 		return k.newOrder(knapweedpulley.OrderUnloadAdapter, r), true
 	}
 	return knapweedpulley.EngineOrder{}, false
 }
 
+// adapterCount returns the number of adapters that the engine holds.
+func (k *Keeper) adapterCount() int {
+	count := 0
+	for _, m := range k.reading.Models {
+		count += len(m.Adapters)
+	}
+	return count
+}
+
+// adapterSlotsShort reports whether the room to keep for late orders includes more adapter slots than
+// are free. An engine without slots gets no order for an adapter.
+func (k *Keeper) adapterSlotsShort(reserved reservation) bool {
+	return k.spec.AdapterSlots > 0 && reserved.slots > 0 && k.adapterCount()+reserved.slots > k.spec.AdapterSlots
+}
+
 // evictionCandidate returns the idle model to unload first, and false if all are
 // in use, recently loaded or requested. Models that enough other endpoints hold
 // go first, then those with the lowest request rate per endpoint that holds them.
