Don't use a reservation of a share that the gateway has lost

A call may wait for up to the time for which the endpoint is cold, and other gateways use the share a second after the list has changed. A gateway that was alone before could thus send its whole old share beside theirs for 3 s: 22 requests in a second at a limit of 11, of which 21.5 are allowed.

The new subtest of TestReservation fails without the change. Run: go test -count=1 ./warmup ./gateway, passed.

--- a/warmup/endpoint.go
+++ b/warmup/endpoint.go
@@ -278,13 +278,23 @@
 }
 
 // Redeem reports whether a request may begin now on a part of the share that was reserved for it. That
-// has expired if the request is late or the gateway may no longer use its share.
+// has expired if the request is late, or if the gateway may no longer use its share or that part of it.
 func (e *Endpoint) Redeem(m Moment, t Ticket) bool {
 	p := e.permit.Load()
 	if p == nil || !p.coldUntil.After(m.Now) {
 		return true
 	}
-	return m.Confirmed && !t.at.After(m.Now) && m.Now.Sub(t.at) <= reservationGrace
+	return m.Confirmed && !t.at.After(m.Now) && m.Now.Sub(t.at) <= reservationGrace && p.has(t.slot)
+}
+
+// has reports whether a slot belongs to the gateway's share.
+func (p *permit) has(slot *atomic.Int64) bool {
+	for i := range p.slots {
+		if &p.slots[i] == slot {
+			return true
+		}
+	}
+	return false
 }
 
 // Busy reports whether a part of the share was taken in the last window or is reserved.
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -156,6 +156,16 @@
 		is.True(!e.Redeem(e.MomentAt(at(from+101*time.Millisecond)), ticket))
 		assertTaken(t, e, at(from+1100*time.Millisecond-1), 0)
 	})
+	t.Run("one that is no longer of the gateway's share can't be used", func(t *testing.T) {
+		is := is.New(t)
+		e := coldEndpoint(1, 1)
+		assertTaken(t, e, start, 1)
+		ticket, from, _ := reserve(e, start)
+		e.SetGateways(warmup.NewGateways("g0", members(3)[1:], nil, start))
+		is.True(!e.Redeem(e.MomentAt(at(from)), ticket))
+		e.SetGateways(warmup.NewGateways("g0", members(1), nil, start))
+		is.True(e.Redeem(e.MomentAt(at(from)), ticket))
+	})
 	t.Run("one that is given back is free for another", func(t *testing.T) {
 		e := coldEndpoint(1, 1)
 		assertTaken(t, e, start, 1)
