Decide anew when another call has reserved the first free part of a share

Two calls that wait for the same part decide that they can be sent in time, and the second got a reservation after its latest start: it was refused late rather than at once. No test: it takes two calls between the decision and the reservation. Run: go test -count=1 ./gateway, passed.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -362,6 +362,12 @@
 	}
 	if hold.Cold && !loading {
 		if r, reserved := h.Fleet.Reserve(hold); reserved {
+			if r.At.After(hold.Until) {
+				// Another call has reserved the part that was free first. Whether this one can be sent in
+				// time has to be decided anew.
+				r.Return()
+				return nil, nil
+			}
 			return h.awaitReservation(ctx, need, r)
 		}
 	}
