Render the sections of templates in the stand-ins of review/

The gateway's template has a section for the evacuation time since. The stand-ins took it for a placeholder without a value, so that no case of review/ could run any more (exit code 2).

Run: review/build.sh and review/4/run.sh. Before: could not run.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rendered := string(text)
+	rendered := renderSections(string(text), values)
 	for key, value := range values {
 		rendered = strings.ReplaceAll(rendered, "{{"+key+"|json}}", value)
 		rendered = strings.ReplaceAll(rendered, "{{"+key+"}}", strings.Trim(value, `"`))
@@ -103,6 +104,21 @@
 	return p, nil
 }
 
+// section is a part of a template that is rendered only where the platform has a field, whose value is
+// {{.}} in it.
+var section = regexp.MustCompile(`(?s){{#([\w.]+)}}(.*?){{/[\w.]+}}`)
+
+func renderSections(text string, values map[string]string) string {
+	return section.ReplaceAllStringFunc(text, func(s string) string {
+		parts := section.FindStringSubmatch(s)
+		value, has := values[parts[1]]
+		if !has {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.}}", value)
+	})
+}
+
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
