Take the share of a cold endpoint anew after a wait for the rate

A call takes its part of the share when its endpoint is chosen. If a new configuration gives it to another customer, it waits for that customer's rate before it is sent, so that its request reached the endpoint beside those of a later second.

The new test fails without the check.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -259,6 +259,12 @@
 	return r.ticket.Cold()
 }
 
+// Overdue reports whether the request has waited since it began for so long that it must not be sent
+// with the part of the share that it has taken.
+func (r *ActiveRequest) Overdue() bool {
+	return r.ticket.Cold() && r.ticket.Overdue(r.clock.Now())
+}
+
 // PromptProcessed records that the endpoint has processed the prompt.
 func (r *ActiveRequest) PromptProcessed() {
 	if r.prefilling.CompareAndSwap(true, false) {
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -163,6 +163,10 @@
 			}
 			continue
 		}
+		if err == nil && visit.Overdue() {
+			h.beginAnew(visit)
+			continue
+		}
 		if err == nil {
 			reason, err = "crashes", h.checkAttempt()
 		}
@@ -178,6 +182,15 @@
 	}
 }
 
+// beginAnew gives back the part of the share of a cold endpoint that a request took before it waited. The
+// call begins again, at the same endpoint if it may run nowhere else.
+func (h *callHandler) beginAnew(visit *fleet.ActiveRequest) {
+	visit.End(fleet.Unsent)
+	if h.hasRunOut() {
+		h.left = visit.Endpoint
+	}
+}
+
 // reserved returns the request that was begun for the call at another endpoint when it was moved, or
 // begins it at the endpoint to which it returns. It returns nil if the call needs an endpoint.
 func (h *callHandler) reserved(ctx context.Context) (*fleet.ActiveRequest, error) {
--- a/gateway/warmup_test.go
+++ b/gateway/warmup_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/fleet"
+	"github.com/knapweedpulley/knapweedpulley/gateway"
 	"github.com/knapweedpulley/knapweedpulley/machine/fake"
+	storefake "github.com/knapweedpulley/knapweedpulley/store/fake"
 )
 
 // coldTime is how long the endpoints of these tests are cold.
@@ -24,7 +26,6 @@
 // send requestsPerSecond to each.
 func (d deployment) withCold(t *testing.T, requestsPerSecond float64, cold ...knapweedpulley.EndpointID) deployment {
 	t.Helper()
-	is := is.New(t)
 	d.fleet = fleet.New(fake.Clock{}, "a")
 	d.fleet.ShareWarmUp("g", nil)
 	d.fleet.SetGateways([]knapweedpulley.Member{{Entry: "g"}})
@@ -33,15 +34,22 @@
 	})
 	time.Sleep(time.Second)
 	d.objects = d.newStore(t)
+	registerCold(t, d.objects, cold...)
+	return d
+}
+
+// registerCold has endpoints register as cold.
+func registerCold(t *testing.T, objects *storefake.Store, cold ...knapweedpulley.EndpointID) {
+	t.Helper()
+	is := is.New(t)
 	for _, id := range cold {
-		o, err := d.objects.Get(t.Context(), knapweedpulley.KindEndpoints, string(id))
+		o, err := objects.Get(t.Context(), knapweedpulley.KindEndpoints, string(id))
 		is.NoErr(err)
 		var r knapweedpulley.RegisteredEndpoint
 		is.NoErr(json.Unmarshal(o.Value, &r))
 		r.ColdFor = coldTime
-		putObject(t, d.objects, knapweedpulley.KindEndpoints, string(id), r)
+		putObject(t, objects, knapweedpulley.KindEndpoints, string(id), r)
 	}
-	return d
 }
 
 // servedCall is how a call ended, and when.
@@ -232,3 +240,43 @@
 		is.Equal(x.attempts(), []knapweedpulley.EndpointID{"1", "2", "2"})
 	})
 }
+
+// Guards against requests that take their part of the share, wait for the customer's rate and are sent
+// beside those of a later second.
+func TestCallThatWaitsTakesItsShareAnew(t *testing.T) {
+	inBubble("while it waits for its rate with an endpoint chosen", t, func(t *testing.T) {
+		is := is.New(t)
+		const changeAfter = 50 * time.Millisecond
+		var f *fleet.Fleet
+		var chosenAt time.Time
+		p := waitingPlace{
+			changeAfter: changeAfter,
+			prepare: func() deployment {
+				d, _ := streamDeployment(scriptedAnswer{events: []string{"1"}})
+				d = d.withCold(t, 1)
+				d.route.LatencyTarget = 3 * time.Second
+				f = d.fleet
+				return d
+			},
+			call: func(c *knapweedpulley.Call) { c.Prompt, c.Completion = 2*price, 2*price },
+			setUp: func(t *testing.T, d *accountedDeployment, g *gateway.Gateway) {
+				t.Helper()
+				registerCold(t, d.objects, "1", "2")
+				time.Sleep(time.Second)
+				d.allowances.Take(otherCustomer, 500, 0)
+				d.allowances.Configure([]knapweedpulley.Contract{
+					{Customer: testCustomer, Rate: 1e-9, Burst: 1e6}, {Customer: otherCustomer, Rate: 1000, Burst: 1000},
+				})
+				loseEndpoints(t, d, g)
+				chosenAt = time.Now().Add(changeAfter) // The endpoints are published again with the configuration.
+			},
+		}
+		o := p.serve(t, passKeyOn, 1000)
+		assertAnswered(t, o.answer, o.err, "1 ")
+		is.Equal(len(o.attempts), 1)
+		is.True(time.Since(chosenAt) > 200*time.Millisecond)
+		time.Sleep(time.Until(chosenAt.Add(time.Second)))
+		_, begun := f.Endpoints()[o.attempts[0].Endpoint].BeginRequest(0)
+		is.True(!begun)
+	})
+}
--- a/warmup/endpoint.go
+++ b/warmup/endpoint.go
@@ -8,8 +8,8 @@
 	"github.com/knapweedpulley/knapweedpulley"
 )
 
-// reservationGrace is how much later than reserved a request may begin. It covers the time in which a
-// waiting goroutine gets the processor.
+// reservationGrace is how much later than its part of the share is for a request may be sent. It covers
+// the time in which a waiting goroutine gets the processor.
 const reservationGrace = 100 * time.Millisecond
 
 // Moment is when a decision is made, and whether the gateway may use its shares then.
@@ -220,7 +220,7 @@
 	slot *atomic.Int64
 	// before and after are the values of the slot before and after it was taken.
 	before, after int64
-	// at is when a reserved part may be used.
+	// at is when the part may be used, or when it was taken for a request that begins at once.
 	at knapweedpulley.Instant
 }
 
@@ -229,6 +229,12 @@
 	return t.slot != nil
 }
 
+// Overdue reports whether the part was for an earlier time, so that its request would be sent beside those
+// of later windows.
+func (t Ticket) Overdue(now knapweedpulley.Instant) bool {
+	return t.slot != nil && now.Sub(t.at) > reservationGrace
+}
+
 // Return gives the part back, unless another request has been given the next use of its slot. The
 // request must not have been sent.
 func (t Ticket) Return() {
