Wait in the soak until an address that it has used is released

Two soaks at once aren't the cause, as each chooses a network whose store address is free.

The new test fails without the change.

--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -193,9 +193,9 @@
 	if e.running {
 		return nil
 	}
-	listener, err := net.Listen("tcp", e.listenAddress)
+	listener, err := listen(e.listenAddress)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", e.listenAddress)
+		return err
 	}
 	if err := e.proxy.Listen(); err != nil {
 		return errors.CombineErrors(err, listener.Close())
--- a/faults/soak/proxy.go
+++ b/faults/soak/proxy.go
@@ -37,10 +37,28 @@
 const (
 	// forwardDelay is the added latency per read in mode Delay.
 	forwardDelay = 60 * time.Millisecond
+	// releaseTime is how long an address may stay in use after its listener was closed. A trial on a busy
+	// machine saw up to 0.8 s. releaseCheckPeriod is the time between two tries to use it again.
+	releaseTime        = 3 * time.Second
+	releaseCheckPeriod = 10 * time.Millisecond
 	// proxyBufferSize is the size in bytes of the kernel's buffers of a connection.
 	proxyBufferSize = 64 << 10
 )
 
+// listen opens a listener at an address that a listener of this process may have used until now. A
+// program that the process is starting inherits the closed listener until its exec, so that the address
+// stays in use.
+func listen(address string) (net.Listener, error) {
+	end := time.Now().Add(releaseTime)
+	for {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, unix.EADDRINUSE) || time.Now().After(end) {
+			return listener, errors.Wrapf(err, "listen on %s", address)
+		}
+		time.Sleep(releaseCheckPeriod)
+	}
+}
+
 // Proxy is a TCP proxy that injects faults into the connections through it.
 type Proxy struct {
 	address string
@@ -77,9 +95,9 @@
 	if p.listener != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := listen(p.address)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", p.address)
+		return err
 	}
 	p.listener = listener
 	go p.accept(listener)
--- a/faults/soak/proxy_test.go
+++ b/faults/soak/proxy_test.go
@@ -51,3 +51,15 @@
 	t.Run("silence", func(t *testing.T) { assertNoOrderlyEnd(t, soak.Silence) })
 	t.Run("cut from the server", func(t *testing.T) { assertNoOrderlyEnd(t, soak.CutFromServer) })
 }
+
+// Guards against a soak that fails because a program that it is starting still holds a closed listener.
+func TestProxyListensOnceItsAddressIsReleased(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	time.AfterFunc(300*time.Millisecond, func() { _ = held.Close() })
+	p, err := soak.NewProxy(held.Addr().String(), "127.0.0.1:9")
+	is.NoErr(err)
+	p.Close()
+}
