--- a/faults/soak/soak_test.go
+++ b/faults/soak/soak_test.go
@@ -207,6 +207,7 @@
 	})
 }
 
+// Guards against requests to an evacuated zone under the calls of a whole cluster.
 func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
 	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -30,6 +30,7 @@
 	}
 }
 
+// Guards against choices that name an endpoint of an evacuated zone, and against answers that are cut off there.
 func TestEndpointInEvacuatedZone(t *testing.T) {
 	inBubble("gets no requests until the zone is given back", t, func(t *testing.T, f *fleet.Fleet) {
 		is := is.New(t)
@@ -69,6 +70,7 @@
 	})
 }
 
+// Guards against refusals although another zone could serve the call.
 func TestCallsAreRefusedOnlyWhenAllEndpointsAreEvacuated(t *testing.T) {
 	a, b := registration("a", "home", "m"), registration("b", "away", "m")
 	b.Address = "10.0.0.2:1"
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -13,12 +13,12 @@
 // chosen. It waits until the index without e is in force, unless changed is nil. It refuses a call that
 // may run nowhere else.
 func (h *callHandler) leaveEvacuated(ctx context.Context, e *fleet.Endpoint, changed <-chan struct{}) error {
-	h.Meter.recordRedirect()
 	if h.hasRunOut() {
 		h.recordDenial(ctx, "endpoint")
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeEvacuated, knapweedpulley.NotRun,
+		return knapweedpulley.NewRefusal(knapweedpulley.CodeEvacuated, knapweedpulley.MayHaveRun,
 			"endpoint %s, to which the request would return, is in an evacuated availability zone", e.ID())
 	}
+	h.Meter.recordRedirect()
 	if changed == nil {
 		return nil
 	}
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -61,6 +61,7 @@
 	is.True(refusal.RetryAfter > 0 || verdict == knapweedpulley.MayHaveRun)
 }
 
+// Guards against calls that fail or still reach the zone when many are on their way.
 func TestEvacuationInTheMiddleOfABurst(t *testing.T) {
 	inBubble("no call reaches the zone until it is given back, and all are answered", t, func(t *testing.T) {
 		is := is.New(t)
@@ -91,6 +92,7 @@
 	})
 }
 
+// Guards against calls that wait in vain for endpoints that get no requests.
 func TestCallIsRefusedAtOnceWhenAllItsZonesAreEvacuated(t *testing.T) {
 	withModel := func(c *knapweedpulley.Call) { c.Model = knapweedpulley.Some[knapweedpulley.ModelID]("m") }
 	engineDeployment := func() deployment {
@@ -154,6 +156,7 @@
 	})
 }
 
+// Guards against requests to endpoints that were chosen before their zone was evacuated.
 func TestCallThatWaitsLeavesEndpointOfEvacuatedZone(t *testing.T) {
 	inBubble("while it waits for its rate with an endpoint chosen", t, func(t *testing.T) {
 		left := make(chan knapweedpulley.EndpointID, 1)
@@ -263,6 +266,7 @@
 	})
 }
 
+// Guards against answers that an evacuation cuts off.
 func TestRunningCallOutlivesEvacuation(t *testing.T) {
 	inBubble("of all zones", t, func(t *testing.T) {
 		d, x := streamDeployment(scriptedAnswer{silence: 500 * time.Millisecond, silentAfter: 1, events: []string{"1", "2", "3"}})
@@ -275,6 +279,7 @@
 	})
 }
 
+// Guards against a gateway that follows evacuations without applying them.
 func TestEvacuationIsTakenFromTheStore(t *testing.T) {
 	inBubble("by a gateway that follows it", t, func(t *testing.T) {
 		d, x := streamDeployment(scriptedAnswer{events: []string{"1"}})
@@ -289,6 +294,7 @@
 	})
 }
 
+// Guards against operators who see a zone as empty before it is, or never.
 func TestEvacuationReporter(t *testing.T) {
 	inBubble("an evacuated zone is logged once when it is empty", t, func(t *testing.T) {
 		is := is.New(t)
--- a/installation/evacuation_test.go
+++ b/installation/evacuation_test.go
@@ -76,6 +76,7 @@
 	f.assertUses("i-b", b)
 }
 
+// Guards against endpoints of an evacuated zone that stay in use, or stay out of use once it is given back.
 func TestEvacuatedZoneIsNotUsed(t *testing.T) {
 	withZones("until it is given back", t, func(_ *testing.T, f *fixture) {
 		f.assertUse(true, true)
@@ -128,6 +129,7 @@
 	})
 }
 
+// Guards against an evacuation that is forgotten because its zone had no endpoint at the time.
 func TestEvacuationOfZoneWithoutEndpoints(t *testing.T) {
 	withZones("is logged, and holds for endpoints that register there", t, func(t *testing.T, f *fixture) {
 		f.evacuate("nowhere")
@@ -140,6 +142,7 @@
 	})
 }
 
+// Guards against zones that come back into use while the store is down, or are never given back after it.
 func TestEvacuationInStoreOutage(t *testing.T) {
 	withZones("stays in force, and ends after it", t, func(_ *testing.T, f *fixture) {
 		f.evacuate("a")
@@ -179,6 +182,7 @@
 	return s.Store.List(ctx, kind)
 }
 
+// Guards against a gateway that sends to an evacuated zone because it has just started.
 func TestGatewayThatStartsWaitsForTheEvacuations(t *testing.T) {
 	runWithFakeTime("before it is usable", t, func(t *testing.T, f *fixture) {
 		is := is.New(t)
@@ -204,6 +208,7 @@
 	})
 }
 
+// Guards against calls to the store that a deployment without evacuations would pay for.
 func TestEvacuationsAreNotFollowedUnlessAskedFor(t *testing.T) {
 	calls := func(t *testing.T, f *fixture) int {
 		t.Helper()
@@ -238,6 +243,7 @@
 	})
 }
 
+// Guards against gateways that learn of an evacuation late because those fail that they have it from.
 func TestEvacuationReachesAllGateways(t *testing.T) {
 	withEvacuations("in time, and so does its end", t, 6, 17, func(f *gatewayFleet) {
 		f.write(knapweedpulley.KindEvacuations, "zone-0", emptySpec)
@@ -321,6 +327,7 @@
 	return s.answering.Load().Watch(ctx, kind, after, wait)
 }
 
+// Guards against a replica of the store that lags and undoes an evacuation or its end.
 func TestEvacuationDoesNotRevertToAnOlderState(t *testing.T) {
 	// writeTo returns a replica with n versions of the evacuation of zone a, of which the even ones are
 	// its removal.
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -84,6 +84,7 @@
 	is.New(t).Equal(k.loadsAsked(), want)
 }
 
+// Guards against loads by engines that get no requests.
 func TestNoLoadIsRequestedInEvacuatedZone(t *testing.T) {
 	inBubble("though an engine there would load soonest", t, func(f *fixture) {
 		f.keepers["a"].setReport(func(r *knapweedpulley.EngineReport) { r.Cached = cachedOnDisk("m") })
@@ -153,6 +154,7 @@
 	return l.fakeKeeperLink.OpenStream(ctx, address)
 }
 
+// Guards against load requests that were queued before the evacuation and are sent after it.
 func TestLoadRequestThatWaitsForItsStreamIsNotSentToEvacuatedZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -183,6 +185,7 @@
 	})
 }
 
+// Guards against callers who wait for models that only evacuated engines hold.
 func TestModelsOfEvacuatedZoneAreLoadedElsewhere(t *testing.T) {
 	inBubble("before their next requests, if they have any", t, func(f *fixture) {
 		f.hold("a", "m", "n")
@@ -276,6 +279,7 @@
 	})
 }
 
+// Guards against a gateway that can load no model because its cell is in an evacuated zone.
 func TestGatewayOfEvacuatedZonePlacesModelsInOthers(t *testing.T) {
 	inLargeFleet("at keepers that its cell doesn't contain otherwise", t, func(f *largeFleet) {
 		is := is.New(f.t)
