--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -173,6 +173,10 @@
 			}
 			continue
 		}
+		if err == nil && visit.Overdue() {
+			h.beginAnew(visit)
+			continue
+		}
 		if err == nil {
 			reason, err = "crashes", h.checkAttempt()
 		}
@@ -188,6 +192,15 @@
 	}
 }
 
+// beginAnew gives back the part of the share of a cold endpoint that a request took before it waited. The
+// call begins again, at the same endpoint if it may run nowhere else.
+func (h *callHandler) beginAnew(visit *fleet.ActiveRequest) {
+	visit.End(fleet.Unsent)
+	if h.hasRunOut() {
+		h.left = visit.Endpoint
+	}
+}
+
 // reserved returns the request that was begun for the call at another endpoint when it was moved, or
 // begins it at the endpoint to which it returns. It returns nil if the call needs an endpoint.
 func (h *callHandler) reserved(ctx context.Context) (*fleet.ActiveRequest, error) {
@@ -372,6 +385,12 @@
 	}
 	if hold.Cold && !loading {
 		if r, reserved := h.Fleet.Reserve(hold); reserved {
+			if r.At.After(hold.Until) {
+				// Another call has reserved the part that was free first. Whether this one can be sent in
+				// time has to be decided anew.
+				r.Return()
+				return nil, nil
+			}
 			return h.awaitReservation(ctx, need, r)
 		}
 	}
