Measure what a slow client has taken of its answer before it is reset

The kernel accepts nothing more until a third of a full send buffer is free, about 43 KiB, and the deadline could lie only 7.5 s after the write began. When the time is over, the bytes that the kernel still has tell what the client took. TestSlowReaders failed in the two cases over a slow link with the check after the deadline taken out; run: go test -race ./web ./machine.

--- a/web/guardedconn.go
+++ b/web/guardedconn.go
@@ -11,6 +11,7 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/intake"
+	"github.com/knapweedpulley/knapweedpulley/machine"
 )
 
 const (
@@ -22,8 +23,8 @@
 	// that share a link of 10 Mbit/s take as long.
 	stallTime  = 15 * time.Second
 	writePiece = int(16 * knapweedpulley.KiB)
-	// sendBuffer is the kernel's send buffer of a connection. The kernel accepts the next bytes only once
-	// a third of it is free: of a larger buffer, a slow link would not get so much away in stallTime.
+	// sendBuffer is the kernel's send buffer of a connection, which the kernel doubles. It is small because
+	// each client that doesn't read its answer holds one.
 	sendBuffer = int(64 * knapweedpulley.KiB)
 )
 
@@ -46,6 +47,11 @@
 	// nanoseconds since 1970 or zero.
 	writeLimit atomic.Int64
 	writeUntil atomic.Int64
+	// unacknowledged returns how many bytes the kernel still has for the client. written is how many it has
+	// accepted, takenMark how many of them the client had taken when its time for the next piece began.
+	unacknowledged func() int
+	written        atomic.Int64
+	takenMark      atomic.Int64
 }
 
 func newGuardedConn(c net.Conn, g *Guard) *guardedConn {
@@ -53,7 +59,7 @@
 		// Without it, the kernel chooses the size.
 		_ = tcp.SetWriteBuffer(sendBuffer)
 	}
-	guarded := &guardedConn{Conn: c, guard: g}
+	guarded := &guardedConn{Conn: c, guard: g, unacknowledged: func() int { return machine.Unacknowledged(c) }}
 	guarded.inHead.Store(true)
 	return guarded
 }
@@ -136,10 +142,11 @@
 func (c *guardedConn) Write(b []byte) (int, error) {
 	written := 0
 	for {
-		if err := c.extendDeadline(); err != nil {
+		began := time.Now()
+		if err := c.extendDeadline(began); err != nil {
 			return written, err
 		}
-		n, err := c.Conn.Write(b[written:min(len(b), written+writePiece)])
+		n, err := c.writeNext(b[written:min(len(b), written+writePiece)], began)
 		written += n
 		if err != nil {
 			c.checkStall(err)
@@ -151,10 +158,56 @@
 	}
 }
 
+// writeNext writes one piece. The kernel accepts nothing until a third of its buffer is free, which is
+// more than a slow client takes in stallTime. Therefore a client that has taken enough gets more time.
+func (c *guardedConn) writeNext(b []byte, began time.Time) (int, error) {
+	written := 0
+	for {
+		n, err := c.Conn.Write(b[written:])
+		written += n
+		c.written.Add(int64(n))
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.limitReached() {
+			return written, err
+		}
+		next := began.Add(stallTime)
+		if now := time.Now(); !now.Before(next) {
+			taken := c.taken()
+			if taken-c.takenMark.Load() < int64(writePiece) {
+				return written, err
+			}
+			c.takenMark.Store(taken)
+			began, next = now, now.Add(stallTime)
+		}
+		if err := c.setWriteUntil(next.UnixNano()); err != nil {
+			return written, err
+		}
+	}
+}
+
+// taken returns how many bytes the client's kernel has taken.
+func (c *guardedConn) taken() int64 {
+	return c.written.Load() - int64(c.unacknowledged())
+}
+
+// limitReached reports whether the deadline that the server has set is over.
+func (c *guardedConn) limitReached() bool {
+	limit := c.writeLimit.Load()
+	return limit > 0 && time.Now().UnixNano() >= limit
+}
+
+// setWriteUntil sets the deadline for writing, which isn't later than the server's.
+func (c *guardedConn) setWriteUntil(next int64) error {
+	if limit := c.writeLimit.Load(); limit > 0 {
+		next = min(next, limit)
+	}
+	c.writeUntil.Store(next)
+	return c.Conn.SetWriteDeadline(time.Unix(0, next))
+}
+
 // extendDeadline gives the client time to read the next piece. It changes the deadline only when half of
 // the time has passed, so that few of the writes of a stream do.
-func (c *guardedConn) extendDeadline() error {
-	now := time.Now().UnixNano()
+func (c *guardedConn) extendDeadline(began time.Time) error {
+	now := began.UnixNano()
 	until, limit := c.writeUntil.Load(), c.writeLimit.Load()
 	next := now + int64(stallTime)
 	if limit > 0 {
@@ -163,15 +216,14 @@
 	if until > 0 && until <= next && next-until < int64(stallTime/2) {
 		return nil
 	}
-	c.writeUntil.Store(next)
-	return c.Conn.SetWriteDeadline(time.Unix(0, next))
+	c.takenMark.Store(c.taken())
+	return c.setWriteUntil(next)
 }
 
 // checkStall records that the client has read too little, and lets the connection be reset, because the
 // client doesn't read what the kernel still has for it.
 func (c *guardedConn) checkStall(err error) {
-	limit := c.writeLimit.Load()
-	if !errors.Is(err, os.ErrDeadlineExceeded) || (limit > 0 && time.Now().UnixNano() >= limit) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || c.limitReached() {
 		return
 	}
 	c.guard.recorder.Record(intake.AnswerNotRead)
