Keep new connections of a burst and await those that they replace

At the limit, connections whose first request was still on its way were closed for the next ones of the burst before idle ones, and connections were refused once four were closing, however many were idle. Now a connection has a second for its first request before it goes before idle ones, and the listener waits for up to 100 ms until one of those that are closed has ended.

--- a/web/connections.go
+++ b/web/connections.go
@@ -19,6 +19,10 @@
 	active atomic.Int64
 	// ended receives a value when one of these has become zero.
 	ended chan struct{}
+	// closing is the number of connections that are being closed for new ones. freed receives a value when
+	// a connection has ended.
+	closing atomic.Int64
+	freed   chan struct{}
 }
 
 // openConnection is one connection.
@@ -32,12 +36,20 @@
 	closing atomic.Bool
 }
 
-// closingSlack is how many connections may be closing while new ones are accepted in their place.
-const closingSlack = 4
+const (
+	// closingSlack is how many connections may be closing while new ones are accepted in their place.
+	closingSlack = 4
+	// closingTimeout bounds the wait for one of them to end. In a burst, connections are accepted faster
+	// than those that they replace end.
+	closingTimeout = 100 * time.Millisecond
+	// firstRequestTime is how long the first request of a connection may take to arrive before the
+	// connection is closed rather than one between two requests. Callers connect in order to send.
+	firstRequestTime = time.Second
+)
 
 // NewConnections returns the connections of a server that hasn't started.
 func NewConnections() *Connections {
-	return &Connections{ended: make(chan struct{}, 1)}
+	return &Connections{ended: make(chan struct{}, 1), freed: make(chan struct{}, 1)}
 }
 
 // Track records the state of a connection. It is the ConnState hook of the server.
@@ -54,7 +66,14 @@
 		}
 		if o, known := c.open.LoadAndDelete(connection); known {
 			c.setActive(o, false)
+			if o, ok := o.(*openConnection); ok {
+				c.endClosing(o)
+			}
 			c.decrement(&c.count)
+			select {
+			case c.freed <- struct{}{}:
+			default:
+			}
 		}
 	default:
 		if o, known := c.open.Load(connection); known {
@@ -75,36 +94,66 @@
 	return g
 }
 
-// makeRoom closes a connection for a new one if maximum are open: the one that has waited longest for its
-// first request, or else for its next one. It reports whether it closes one, and whether there is room.
-func (c *Connections) makeRoom(maximum int) (closing, ok bool) {
-	count := c.count.Load()
-	if count < int64(maximum) {
-		return false, true
-	}
-	if count >= int64(maximum+closingSlack) {
-		return false, false
+// makeRoom closes a connection for a new one if maximum are open. It reports whether it closes one, and
+// whether there is room. Only one goroutine may call it.
+func (c *Connections) makeRoom(maximum int) (replaced, ok bool) {
+	var timeout <-chan time.Time
+	for {
+		count := c.count.Load()
+		if count < int64(maximum) {
+			return replaced, true
+		}
+		if !replaced && count-c.closing.Load() >= int64(maximum) {
+			if !c.closeOldest() {
+				return false, false
+			}
+			replaced = true
+		}
+		if count < int64(maximum+closingSlack) {
+			return replaced, true
+		}
+		if timeout == nil {
+			timer := time.NewTimer(closingTimeout)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-c.freed:
+		case <-timeout:
+			return replaced, false
+		}
 	}
+}
+
+// closeOldest closes the connection without a request that a new one replaces, and reports whether there
+// is one.
+func (c *Connections) closeOldest() bool {
+	now := time.Now().UnixNano()
 	var oldest *openConnection
 	var oldestConn net.Conn
 	c.open.Range(func(key, value any) bool {
 		o, isOpen := value.(*openConnection)
 		connection, isConn := key.(net.Conn)
-		if isOpen && isConn && o.replaceable() && (oldest == nil || o.waitsLonger(oldest)) {
+		if isOpen && isConn && o.replaceable() && (oldest == nil || o.goesBefore(oldest, now)) {
 			oldest, oldestConn = o, connection
 		}
 		return true
 	})
 	if oldest == nil {
-		return false, false
+		return false
 	}
+	c.closing.Add(1)
 	oldest.closing.Store(true)
+	if oldest.active.Load() {
+		// Its request arrived meanwhile.
+		c.endClosing(oldest)
+	}
 	if t, ok := oldestConn.(*tls.Conn); ok {
 		// Closing it in order would wait for a client that doesn't read.
 		oldestConn = t.NetConn()
 	}
 	closeUnused(oldestConn)
-	return true, true
+	return true
 }
 
 // replaceable reports whether a connection has no request.
@@ -112,20 +161,40 @@
 	return !o.active.Load() && !o.closing.Load()
 }
 
-// waitsLonger reports whether a connection is closed before another.
-func (o *openConnection) waitsLonger(other *openConnection) bool {
-	if served, otherServed := o.served.Load(), other.served.Load(); served != otherServed {
-		return !served
+// goesBefore reports whether a connection is closed before another: first those that have waited for their
+// first request for longer than firstRequestTime, then those that wait for their next one, then new ones.
+func (o *openConnection) goesBefore(other *openConnection, now int64) bool {
+	if rank, otherRank := o.rank(now), other.rank(now); rank != otherRank {
+		return rank < otherRank
 	}
 	return o.waitsSince.Load() < other.waitsSince.Load()
 }
 
+func (o *openConnection) rank(now int64) int {
+	switch {
+	case o.served.Load():
+		return 1
+	case now-o.waitsSince.Load() >= int64(firstRequestTime):
+		return 0
+	default:
+		return 2
+	}
+}
+
+// endClosing records that a connection has ended, or has a request although it was to be closed.
+func (c *Connections) endClosing(o *openConnection) {
+	if o.closing.Swap(false) {
+		c.closing.Add(-1)
+	}
+}
+
 func (c *Connections) setActive(value any, active bool) {
 	o, ok := value.(*openConnection)
 	if !ok || o.active.Swap(active) == active {
 		return
 	}
 	if active {
+		c.endClosing(o)
 		o.served.Store(true)
 		c.active.Add(1)
 		return
--- a/web/guard.go
+++ b/web/guard.go
@@ -48,7 +48,7 @@
 }
 
 // Listen returns a listener whose connections are guarded. At most maximum are open at a time: for a new
-// one, the oldest without a request is closed, or the new one if there is none. Connections.Track must
+// one, one without a request is closed, or the new one if there is none. Connections.Track must
 // be the ConnState hook of the server.
 func (g *Guard) Listen(l net.Listener, c *Connections, maximum int) net.Listener {
 	return &listener{Listener: l, guard: g, connections: c, maximum: maximum}
@@ -70,15 +70,15 @@
 		if err != nil {
 			return nil, err
 		}
-		closing, ok := l.connections.makeRoom(l.maximum)
+		replaced, ok := l.connections.makeRoom(l.maximum)
+		if replaced {
+			l.guard.recorder.Record(intake.ConnectionReplaced)
+		}
 		if !ok {
 			l.guard.recorder.Record(intake.ConnectionRefused)
 			_ = c.Close()
 			continue
 		}
-		if closing {
-			l.guard.recorder.Record(intake.ConnectionReplaced)
-		}
 		return newGuardedConn(c, l.guard), nil
 	}
 }
--- a/web/guard_test.go
+++ b/web/guard_test.go
@@ -240,6 +240,37 @@
 		assertStatus(t, g.send(announced("/", 100, 100)), http.StatusOK)
 		assertClosed(t, waiting[0])
 	})
+	// Guards against a burst that closes connections whose first request is still on its way, or whose
+	// connections are refused while idle ones could give way.
+	inBubble(t, "idle connections give way to a burst", func(t *testing.T, g *guarded) {
+		for range 3 {
+			var burst []net.Conn
+			for range maxConnections {
+				burst = append(burst, g.dial())
+			}
+			for _, c := range burst {
+				go func() { _, _ = io.WriteString(c, announced("/", 100, 100)) }()
+			}
+			for _, c := range burst {
+				assertStatus(t, c, http.StatusOK)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+	inBubble(t, "a half of a head gives way before an idle connection", func(t *testing.T, g *guarded) {
+		idle := g.send(announced("/", 100, 100))
+		assertStatus(t, idle, http.StatusOK)
+		var waiting []net.Conn
+		for range maxConnections - 1 {
+			waiting = append(waiting, g.send("POST / HTTP/1.1\r\nHost: h\r\n"))
+		}
+		time.Sleep(2 * time.Second)
+		for range waiting {
+			assertStatus(t, g.send(announced("/", 100, 100)), http.StatusOK)
+		}
+		go func() { _, _ = io.WriteString(idle, announced("/", 100, 100)) }()
+		assertStatus(t, idle, http.StatusOK)
+	})
 	inBubble(t, "a new connection is closed if all others have a request", func(t *testing.T, g *guarded) {
 		for range maxConnections {
 			g.send(announced("/hold", 100, 100))
--- a/web/web_test.go
+++ b/web/web_test.go
@@ -1,8 +1,8 @@
 package web_test
 
 import (
-	"bytes"
 	"bufio"
+	"bytes"
 	"crypto/tls"
 	"io"
 	"net"
