See connections that wait to be accepted through a guarded listener

A gateway that stops waits until none is left. Since its listener is guarded, it saw none, because the guard's listener hid the file descriptor, and closing it reset them. TestGuardedListenerTellsOfPendingConnections failed without SyscallConn.

--- a/web/guard.go
+++ b/web/guard.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/knapweedpulley/knapweedpulley"
@@ -62,6 +64,15 @@
 	maximum     int
 }
 
+// SyscallConn implements syscall.Conn, by which a stop sees connections that wait to be accepted.
+func (l *listener) SyscallConn() (syscall.RawConn, error) {
+	c, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the listener has no file descriptor")
+	}
+	return c.SyscallConn()
+}
+
 // Accept implements net.Listener. It returns the errors of the listener below: the server waits after a
 // temporary one, as when no descriptor is left.
 func (l *listener) Accept() (net.Conn, error) {
--- a/web/guard_test.go
+++ b/web/guard_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/intake"
+	"github.com/knapweedpulley/knapweedpulley/machine"
 	"github.com/knapweedpulley/knapweedpulley/web"
 )
 
@@ -300,6 +301,20 @@
 	})
 }
 
+// Guards against a stop that resets the connections that callers have made and that aren't accepted yet.
+func TestGuardedListenerTellsOfPendingConnections(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := web.NewMachineGuard(0, 0).Listen(inner, web.NewConnections(), maxConnections)
+	defer func() { _ = l.Close() }()
+	is.True(!machine.HasPending(l)) // nobody has connected
+	c, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.True(machine.HasPending(l)) // the connection isn't accepted yet
+}
+
 // deadlineWriter accepts deadlines, as the connections of net/http do.
 type deadlineWriter struct{ http.ResponseWriter }
 
