Refuse requests of connections beyond the limit instead of closing them

When all connections of a server had requests, further callers got no answer and no Retry-After. Up to a sixteenth more connections are now accepted and answered with 503 notRun. The case of TestGuardedConnections that wanted such a connection closed is replaced by two: the request is refused and its connection closed, and a connection beyond the sixteenth is closed.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -413,7 +413,7 @@
 	p.server = &http.Server{
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		Handler:     p.ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: p.connections.Track,
+		ConnState: p.connections.Track, ConnContext: web.ConnContext,
 	}
 	go func() {
 		defer close(p.serveDone)
--- a/web/connections.go
+++ b/web/connections.go
@@ -27,7 +27,9 @@
 
 // openConnection is one connection.
 type openConnection struct {
-	active atomic.Bool
+	// surplus is set if its request is refused.
+	surplus bool
+	active  atomic.Bool
 	// served is set once the connection has had a request.
 	served atomic.Bool
 	// waitsSince is when it began to wait for a request, in nanoseconds since 1970.
@@ -37,8 +39,10 @@
 }
 
 const (
-	// closingSlack is how many connections may be closing while new ones are accepted in their place.
-	closingSlack = 4
+	// minSlack and slackDivisor give the number of connections beyond the maximum: those that are closing
+	// while new ones are accepted in their place, and those that only get a refusal.
+	minSlack     = 4
+	slackDivisor = 16
 	// closingTimeout bounds the wait for one of them to end. In a burst, connections are accepted faster
 	// than those that they replace end.
 	closingTimeout = 100 * time.Millisecond
@@ -58,6 +62,9 @@
 	case http.StateNew:
 		c.count.Add(1)
 		o := &openConnection{}
+		if g := guardOf(connection); g != nil {
+			o.surplus = g.surplus
+		}
 		o.waitsSince.Store(time.Now().UnixNano())
 		c.open.Store(connection, o)
 	case http.StateClosed, http.StateHijacked:
@@ -94,23 +101,44 @@
 	return g
 }
 
+// admission is what becomes of a new connection.
+type admission int
+
+const (
+	// admitted connections are used, surplus ones only for a refusal, because all others have a request.
+	// rejected ones are closed.
+	admitted admission = iota
+	surplus
+	rejected
+)
+
+// slack returns how many connections may be open beyond the maximum.
+func slack(maximum int) int64 {
+	return int64(max(minSlack, maximum/slackDivisor))
+}
+
 // makeRoom closes a connection for a new one if maximum are open. It reports whether it closes one, and
-// whether there is room. Only one goroutine may call it.
-func (c *Connections) makeRoom(maximum int) (replaced, ok bool) {
+// what becomes of the new one. Only one goroutine may call it.
+func (c *Connections) makeRoom(maximum int) (replaced bool, a admission) {
+	most := int64(maximum) + slack(maximum)
 	var timeout <-chan time.Time
 	for {
 		count := c.count.Load()
 		if count < int64(maximum) {
-			return replaced, true
+			return replaced, admitted
 		}
 		if !replaced && count-c.closing.Load() >= int64(maximum) {
-			if !c.closeOldest() {
-				return false, false
+			switch {
+			case c.closeOldest():
+				replaced = true
+			case count < most:
+				return false, surplus
+			default:
+				return false, rejected
 			}
-			replaced = true
 		}
-		if count < int64(maximum+closingSlack) {
-			return replaced, true
+		if count < most {
+			return replaced, admitted
 		}
 		if timeout == nil {
 			timer := time.NewTimer(closingTimeout)
@@ -120,7 +148,7 @@
 		select {
 		case <-c.freed:
 		case <-timeout:
-			return replaced, false
+			return replaced, rejected
 		}
 	}
 }
@@ -134,7 +162,7 @@
 	c.open.Range(func(key, value any) bool {
 		o, isOpen := value.(*openConnection)
 		connection, isConn := key.(net.Conn)
-		if isOpen && isConn && o.replaceable() && (oldest == nil || o.goesBefore(oldest, now)) {
+		if isOpen && isConn && o.replaceable(now) && (oldest == nil || o.goesBefore(oldest, now)) {
 			oldest, oldestConn = o, connection
 		}
 		return true
@@ -156,9 +184,9 @@
 	return true
 }
 
-// replaceable reports whether a connection has no request.
-func (o *openConnection) replaceable() bool {
-	return !o.active.Load() && !o.closing.Load()
+// replaceable reports whether a connection has no request. A surplus one has firstRequestTime for it.
+func (o *openConnection) replaceable(now int64) bool {
+	return !o.active.Load() && !o.closing.Load() && (!o.surplus || o.rank(now) == 0)
 }
 
 // goesBefore reports whether a connection is closed before another: first those that have waited for their
--- a/web/guard.go
+++ b/web/guard.go
@@ -1,7 +1,9 @@
 package web
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -17,6 +19,10 @@
 // ReportPeriod is the time between two reports of a guard, and so between its log lines.
 const ReportPeriod = 10 * time.Second
 
+// surplusRetryAfter is when a request may return that found all connections in use. Many requests end within
+// a second.
+const surplusRetryAfter = time.Second
+
 // Guard applies the limits of a process to the clients of its servers: the number of their connections,
 // the memory of their heads and bodies, and their progress.
 type Guard struct {
@@ -50,8 +56,9 @@
 }
 
 // Listen returns a listener whose connections are guarded. At most maximum are open at a time: for a new
-// one, one without a request is closed, or the new one if there is none. Connections.Track must
-// be the ConnState hook of the server.
+// one, one without a request is closed. If there is none, a few more are accepted, whose requests the handler
+// must refuse with [SurplusRefusal], and others are closed. Connections.Track must be the ConnState hook of the
+// server and [ConnContext] its hook of that name.
 func (g *Guard) Listen(l net.Listener, c *Connections, maximum int) net.Listener {
 	return &listener{Listener: l, guard: g, connections: c, maximum: maximum}
 }
@@ -81,15 +88,42 @@
 		if err != nil {
 			return nil, err
 		}
-		replaced, ok := l.connections.makeRoom(l.maximum)
+		replaced, admission := l.connections.makeRoom(l.maximum)
 		if replaced {
 			l.guard.recorder.Record(intake.ConnectionReplaced)
 		}
-		if !ok {
+		if admission != admitted {
 			l.guard.recorder.Record(intake.ConnectionRefused)
+		}
+		if admission == rejected {
 			_ = c.Close()
 			continue
 		}
-		return newGuardedConn(c, l.guard), nil
+		guarded := newGuardedConn(c, l.guard)
+		guarded.surplus = admission == surplus
+		return guarded, nil
+	}
+}
+
+// surplusKey is the key of a context of a surplus connection.
+type surplusKey struct{}
+
+// ConnContext marks the contexts of requests of surplus connections.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if g := guardOf(c); g != nil && g.surplus {
+		return context.WithValue(ctx, surplusKey{}, true)
+	}
+	return ctx
+}
+
+// SurplusRefusal returns the refusal for a request of a connection that is only there for that, or nil. The
+// connection is closed after it.
+func SurplusRefusal(w http.ResponseWriter, r *http.Request) *knapweedpulley.Refusal {
+	if r.Context().Value(surplusKey{}) == nil {
+		return nil
 	}
+	w.Header().Set("Connection", "close")
+	LeaveBody(w)
+	return knapweedpulley.NewRefusal(knapweedpulley.CodeOverloaded, knapweedpulley.NotRun,
+		"all connections have requests").WithRetryAfter(surplusRetryAfter)
 }
--- a/web/guard_test.go
+++ b/web/guard_test.go
@@ -69,8 +69,12 @@
 			g := web.NewGuard(intake.Limits{Bodies: 3 * guardedLimit, Heads: guardedLimit, Callers: maxConnections}, bubbleClock{})
 			connections := web.NewConnections()
 			p := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
-			server := &http.Server{ConnState: connections.Track, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
+			server := &http.Server{ConnState: connections.Track, ConnContext: web.ConnContext, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
 				func(w http.ResponseWriter, r *http.Request) {
+					if refusal := web.SurplusRefusal(w, r); refusal != nil {
+						web.WriteRefusal(w, refusal)
+						return
+					}
 					if r.URL.Path == "/long" {
 						_, _ = io.Copy(w, io.LimitReader(endless{}, 1<<30))
 						return
@@ -272,11 +276,29 @@
 		go func() { _, _ = io.WriteString(idle, announced("/", 100, 100)) }()
 		assertStatus(t, idle, http.StatusOK)
 	})
-	inBubble(t, "a new connection is closed if all others have a request", func(t *testing.T, g *guarded) {
+	// Guards against callers that get no answer while all connections have requests.
+	inBubble(t, "a request is refused if all other connections have one", func(t *testing.T, g *guarded) {
+		for range maxConnections {
+			g.send(announced("/hold", 100, 100))
+		}
+		synctest.Wait()
+		for range 3 * maxConnections {
+			c := g.send(announced("/", 100, 100))
+			assertStatus(t, c, http.StatusServiceUnavailable)
+			assertClosed(t, c)
+			synctest.Wait()
+		}
+	})
+	inBubble(t, "a new connection is closed if all others have a request and enough are refused", func(t *testing.T, g *guarded) {
 		for range maxConnections {
 			g.send(announced("/hold", 100, 100))
 		}
 		synctest.Wait()
+		const surplus = 4
+		for range surplus {
+			g.send(announced("/", 100, 50))
+		}
+		synctest.Wait()
 		assertClosed(t, g.dial())
 	})
 	// Guards against heads of many short fields, which take many times their size.
--- a/web/guardedconn.go
+++ b/web/guardedconn.go
@@ -38,6 +38,8 @@
 type guardedConn struct {
 	net.Conn
 	guard *Guard
+	// surplus is set if the connection's request is refused.
+	surplus bool
 	// inHead is set while the connection waits for a request or reads its head. headSize is the size of
 	// that head, headTaken what it holds of the budget.
 	inHead    atomic.Bool
--- a/web/makeroom_test.go
+++ b/web/makeroom_test.go
@@ -31,31 +31,31 @@
 			time.AfterFunc(50*time.Millisecond, func() { c.Track(connection, http.StateClosed) })
 		}
 		for range maximum {
-			_, ok := c.makeRoom(maximum)
-			is.True(ok) // one of those that are closed ends in time
+			_, a := c.makeRoom(maximum)
+			is.Equal(a, admitted) // one of those that are closed ends in time
 			fresh, _ := net.Pipe()
 			c.Track(fresh, http.StateNew)
-			is.True(c.count.Load() <= maximum+closingSlack)
+			is.True(c.count.Load() <= maximum+minSlack)
 		}
 	})
 	inBubble("connections that don't end", func(is *is.I, c *Connections) {
 		fill(c)
-		admitted := 0
+		used := 0
 		for range maximum {
-			if _, ok := c.makeRoom(maximum); ok {
-				admitted++
+			if _, a := c.makeRoom(maximum); a != rejected {
+				used++
 				fresh, _ := net.Pipe()
 				c.Track(fresh, http.StateNew)
 			}
 		}
-		is.Equal(admitted, closingSlack) // the bound holds
+		is.Equal(used, minSlack) // the bound holds
 	})
 	inBubble("connections with a request after all", func(is *is.I, c *Connections) {
 		open := fill(c)
 		time.Sleep(time.Millisecond)
-		for range closingSlack {
-			_, ok := c.makeRoom(maximum)
-			is.True(ok)
+		for range minSlack {
+			_, a := c.makeRoom(maximum)
+			is.Equal(a, admitted)
 			fresh, _ := net.Pipe()
 			c.Track(fresh, http.StateNew)
 		}
@@ -66,7 +66,7 @@
 		for _, connection := range open {
 			c.Track(connection, http.StateClosed)
 		}
-		replaced, ok := c.makeRoom(maximum)
-		is.True(ok && !replaced) // their places are free
+		replaced, a := c.makeRoom(maximum)
+		is.True(a == admitted && !replaced) // their places are free
 	})
 }
--- a/web/web.go
+++ b/web/web.go
@@ -88,8 +88,8 @@
 	listener := g.Listen(inner, connections, maximum)
 	var stopping atomic.Bool
 	server := &http.Server{
-		Handler: askToClose(&stopping, limitBody(handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, TLSConfig: tlsConfig, ConnState: connections.Track,
+		Handler: askToClose(&stopping, refuseSurplus(limitBody(handler))), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, TLSConfig: tlsConfig, ConnState: connections.Track, ConnContext: ConnContext,
 	}
 	done := make(chan struct{})
 	go func() {
@@ -112,6 +112,17 @@
 	}, nil
 }
 
+// refuseSurplus refuses the requests of surplus connections.
+func refuseSurplus(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refusal := SurplusRefusal(w, r); refusal != nil {
+			WriteRefusal(w, refusal)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // limitBody bounds the time for bodies that a handler reads itself, or that no handler reads: the server
 // reads some of them after the answer, before the connection's next request.
 func limitBody(next http.Handler) http.Handler {
