Don't drop sound bodies that share a slow link

With 300 bodies of 64 KiB over a link of 10 Mbit/s, each gets 4 KB/s, less than the 16 KiB/s that it took to be kept while others wait; the oldest was dropped. The rate is now at most an equal part of half that link. The case "many bodies over one slow link are not dropped" failed with the fixed rate (4 drops); go test -race -count=2 ./intake passed.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -29,6 +29,9 @@
 	// at once ten times as much.
 	stallTime   = 3 * time.Second
 	crowdedRate = 16 * knapweedpulley.KiB
+	// crowdedTotal is half of a link of 10 Mbit/s. Where more bodies are read at once than it gives
+	// crowdedRate to, they share it. Such bodies are small, so that a slow one is soon complete.
+	crowdedTotal = 600 * knapweedpulley.KiB
 	// retryAfter is when a refused request may return. Requests that stalled are gone by then.
 	retryAfter = stallTime
 )
@@ -346,6 +349,7 @@
 		return
 	}
 	w, anyOwner := b.firstWaiting()
+	rate := max(minRate, min(crowdedRate, crowdedTotal/knapweedpulley.Bytes(max(1, len(b.holds)))))
 	var leaving knapweedpulley.Bytes
 	var stalled *Hold
 	for _, h := range b.holds {
@@ -354,7 +358,7 @@
 		case h.dropped.Load():
 			leaving += h.large
 		case h.waits || now.Sub(h.markedAt) < stallTime:
-		case !h.stalled(now):
+		case !h.stalled(now, rate):
 			h.mark(now)
 		case stalled == nil:
 			stalled = h
@@ -396,8 +400,9 @@
 	return b.waiting[0], false
 }
 
-// stalled reports whether a request made too little progress since it was last marked.
-func (h *Hold) stalled(now knapweedpulley.Instant) bool {
+// stalled reports whether a request made less progress than at rate, in bytes a second, since it was last
+// marked.
+func (h *Hold) stalled(now knapweedpulley.Instant, rate knapweedpulley.Bytes) bool {
 	received := knapweedpulley.Bytes(h.received.Load() - h.progress)
-	return received < knapweedpulley.Bytes(now.Sub(h.markedAt).Seconds()*float64(crowdedRate))
+	return received < knapweedpulley.Bytes(now.Sub(h.markedAt).Seconds()*float64(rate))
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -60,6 +60,20 @@
 	return holds
 }
 
+// fillWith lets requests of three other owners take memory in parts of a size until none is left.
+func (d *desk) fillWith(size knapweedpulley.Bytes) []*intake.Hold {
+	d.t.Helper()
+	// A quarter of the machine's memory is for bodies, and three quarters of that for large ones.
+	n := int(smallestMachine / 4 * 3 / 4 / size)
+	holds := make([]*intake.Hold, 0, n)
+	for i := range n {
+		h, err := d.reserve(size, intake.Owner(rune('a'+i%3)))
+		is.New(d.t).NoErr(err)
+		holds = append(holds, h)
+	}
+	return holds
+}
+
 func assertRefused(t *testing.T, err error) {
 	t.Helper()
 	is := is.New(t)
@@ -241,6 +255,21 @@
 		advance(holds, 10_000_000/8/len(holds), 10*time.Second)
 		is.New(t).Equal(d.recorder.Count(intake.BodyDropped), int64(0))
 	})
+	// Guards against dropping sound bodies of a burst, which share the link of their gateway.
+	inBubble(t, "many bodies over one slow link are not dropped", func(t *testing.T, d *desk) {
+		const linkRate = 10_000_000 / 8
+		holds := d.fillWith(64 * knapweedpulley.KiB)
+		is.New(t).True(len(holds) > 300)
+		go func() { _, _ = d.reserve(bodyLimit, "waits") }()
+		advance(holds, linkRate/len(holds), 4*time.Second)
+		is.New(t).Equal(d.recorder.Count(intake.BodyDropped), int64(0))
+	})
+	inBubble(t, "many bodies without progress are dropped", func(t *testing.T, d *desk) {
+		holds := d.fillWith(64 * knapweedpulley.KiB)
+		go func() { _, _ = d.reserve(bodyLimit, "waits") }()
+		advance(holds, 100, 4*time.Second)
+		is.New(t).True(d.recorder.Count(intake.BodyDropped) > 0)
+	})
 	inBubble(t, "nothing is dropped while nobody waits", func(t *testing.T, d *desk) {
 		d.fill()
 		time.Sleep(time.Minute)
