Count the connections that only get a refusal among the descriptors

On a machine with much memory, the limits took all descriptors but the reserve. TestLimits failed with the old quotient. Run: go test -race ./intake ./web.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -309,6 +309,9 @@
 	smallest := intake.NewLimits(smallestMachine, 3075)
 	is.True(smallest.Callers >= 500)
 	is.True(2*smallest.Callers+3*smallest.Auxiliary < 3075)
+	// Connections that only get a refusal leave room on a machine with much memory, too.
+	large := intake.NewLimits(100*smallestMachine, 3075)
+	is.True(2*large.Callers+large.Callers/intake.SurplusDivisor+2*large.Auxiliary <= 3075*7/8)
 	// Few descriptors leave room for the store, the other processes and the endpoints.
 	few := intake.NewLimits(smallestMachine, 96)
 	is.True(2*few.Callers+2*few.Auxiliary+32 <= 96)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -18,6 +18,9 @@
 	minReserve, maxReserve = 32, 512
 	// minConnections is the number of connections of each server at least.
 	minConnections = 4
+	// SurplusDivisor gives the number of connections beyond the limit that only get a refusal, and need
+	// no connection to an endpoint: a sixteenth.
+	SurplusDivisor = 16
 	// maxAuxiliary bounds the connections of a server that isn't for callers. Operators, the balancer's
 	// probes and readers of metrics need few.
 	maxAuxiliary = 64
@@ -41,10 +44,11 @@
 	reserve := min(maxReserve, max(minReserve, descriptors/8))
 	auxiliary := min(maxAuxiliary, max(minConnections, descriptors/auxiliaryDivisor))
 	byMemory := int(memory / connectionDivisor / connectionSize)
+	byDescriptors := (descriptors-reserve)*SurplusDivisor/(2*SurplusDivisor+1) - auxiliary
 	return Limits{
 		Bodies:    memory / memoryDivisor,
 		Heads:     memory / headDivisor,
-		Callers:   max(minConnections, min(byMemory, (descriptors-reserve)/2-auxiliary)),
+		Callers:   max(minConnections, min(byMemory, byDescriptors)),
 		Auxiliary: auxiliary,
 	}
 }
--- a/web/connections.go
+++ b/web/connections.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/knapweedpulley/knapweedpulley/intake"
 )
 
 // Connections are the open connections of an http.Server. A stop uses them in place of
@@ -39,10 +41,9 @@
 }
 
 const (
-	// minSlack and slackDivisor give the number of connections beyond the maximum: those that are closing
-	// while new ones are accepted in their place, and those that only get a refusal.
-	minSlack     = 4
-	slackDivisor = 16
+	// minSlack is the least number of connections beyond the maximum: those that are closing while new ones
+	// are accepted in their place, and those that only get a refusal.
+	minSlack = 4
 	// closingTimeout bounds the wait for one of them to end. In a burst, connections are accepted faster
 	// than those that they replace end.
 	closingTimeout = 100 * time.Millisecond
@@ -114,7 +115,7 @@
 
 // slack returns how many connections may be open beyond the maximum.
 func slack(maximum int) int64 {
-	return int64(max(minSlack, maximum/slackDivisor))
+	return int64(max(minSlack, maximum/intake.SurplusDivisor))
 }
 
 // makeRoom closes a connection for a new one if maximum are open. It reports whether it closes one, and
