Look at what a slow client has taken every 3 s

A client that never reads held its connection for up to 30 s, since its kernel takes more than 16 KiB at once and the next look was 15 s later. The case "a client whose kernel alone takes some" of TestSlowReaders failed before.

--- a/web/guardedconn.go
+++ b/web/guardedconn.go
@@ -21,8 +21,11 @@
 	headWeight = 32
 	// stallTime is how long a client may take to read writePiece bytes of an answer. A thousand callers
 	// that share a link of 10 Mbit/s take as long.
-	stallTime  = 15 * time.Second
-	writePiece = int(16 * knapweedpulley.KiB)
+	stallTime = 15 * time.Second
+	// stallCheckPeriod is the time between two looks at what a client has taken while a write waits. The
+	// client's kernel takes some at once, from when on stallTime counts.
+	stallCheckPeriod = 3 * time.Second
+	writePiece       = int(16 * knapweedpulley.KiB)
 	// sendBuffer is the kernel's send buffer of a connection, which the kernel doubles. It is small because
 	// each client that doesn't read its answer holds one.
 	sendBuffer = int(64 * knapweedpulley.KiB)
@@ -50,10 +53,12 @@
 	writeLimit atomic.Int64
 	writeUntil atomic.Int64
 	// unacknowledged returns how many bytes the kernel still has for the client. written is how many it has
-	// accepted, takenMark how many of them the client had taken when its time for the next piece began.
+	// accepted, takenMark how many of them the client had taken when its time for the next piece began, at
+	// markedAt.
 	unacknowledged func() int
 	written        atomic.Int64
 	takenMark      atomic.Int64
+	markedAt       atomic.Int64
 }
 
 func newGuardedConn(c net.Conn, g *Guard) *guardedConn {
@@ -144,11 +149,10 @@
 func (c *guardedConn) Write(b []byte) (int, error) {
 	written := 0
 	for {
-		began := time.Now()
-		if err := c.extendDeadline(began); err != nil {
+		if err := c.extendDeadline(); err != nil {
 			return written, err
 		}
-		n, err := c.writeNext(b[written:min(len(b), written+writePiece)], began)
+		n, err := c.writeNext(b[written:min(len(b), written+writePiece)])
 		written += n
 		if err != nil {
 			c.checkStall(err)
@@ -162,7 +166,7 @@
 
 // writeNext writes one piece. The kernel accepts nothing until a third of its buffer is free, which is
 // more than a slow client takes in stallTime. Therefore a client that has taken enough gets more time.
-func (c *guardedConn) writeNext(b []byte, began time.Time) (int, error) {
+func (c *guardedConn) writeNext(b []byte) (int, error) {
 	written := 0
 	for {
 		n, err := c.Conn.Write(b[written:])
@@ -171,21 +175,25 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.limitReached() {
 			return written, err
 		}
-		next := began.Add(stallTime)
-		if now := time.Now(); !now.Before(next) {
-			taken := c.taken()
-			if taken-c.takenMark.Load() < int64(writePiece) {
-				return written, err
-			}
-			c.takenMark.Store(taken)
-			began, next = now, now.Add(stallTime)
+		now := time.Now().UnixNano()
+		switch taken := c.taken(); {
+		case taken-c.takenMark.Load() >= int64(writePiece):
+			c.mark(now, taken)
+		case now-c.markedAt.Load() >= int64(stallTime):
+			return written, err
 		}
-		if err := c.setWriteUntil(next.UnixNano()); err != nil {
+		if err := c.setWriteUntil(now + int64(stallCheckPeriod)); err != nil {
 			return written, err
 		}
 	}
 }
 
+// mark begins a new measurement of what the client takes.
+func (c *guardedConn) mark(now, taken int64) {
+	c.takenMark.Store(taken)
+	c.markedAt.Store(now)
+}
+
 // taken returns how many bytes the client's kernel has taken.
 func (c *guardedConn) taken() int64 {
 	return c.written.Load() - int64(c.unacknowledged())
@@ -207,18 +215,18 @@
 }
 
 // extendDeadline gives the client time to read the next piece. It changes the deadline only when half of
-// the time has passed, so that few of the writes of a stream do.
-func (c *guardedConn) extendDeadline(began time.Time) error {
-	now := began.UnixNano()
+// the time until the next check has passed, so that few of the writes of a stream do.
+func (c *guardedConn) extendDeadline() error {
+	now := time.Now().UnixNano()
 	until, limit := c.writeUntil.Load(), c.writeLimit.Load()
-	next := now + int64(stallTime)
+	next := now + int64(stallCheckPeriod)
 	if limit > 0 {
 		next = min(next, limit)
 	}
-	if until > 0 && until <= next && next-until < int64(stallTime/2) {
+	if until > 0 && until <= next && next-until < int64(stallCheckPeriod/2) {
 		return nil
 	}
-	c.takenMark.Store(c.taken())
+	c.mark(now, c.taken())
 	return c.setWriteUntil(next)
 }
 
--- a/web/guardedconn_test.go
+++ b/web/guardedconn_test.go
@@ -86,6 +86,17 @@
 		_, err := g.Write(make([]byte, answer))
 		assertStalls(t, g, err, 1)
 	})
+	// Guards against a client that never reads and holds its connection for twice stallTime, because its
+	// kernel took some at once.
+	inBuffer(t, "a client whose kernel alone takes some", 0, func(t *testing.T, g *guardedConn) {
+		kernel := 64 << 10
+		k := g.unacknowledged
+		g.unacknowledged = func() int { return max(0, k()-kernel) }
+		began := time.Now()
+		_, err := g.Write(make([]byte, answer))
+		assertStalls(t, g, err, 1)
+		is.New(t).True(time.Since(began) < 2*stallTime-stallCheckPeriod) // in virtual time
+	})
 	inBuffer(t, "the server's own limit", 1200, func(t *testing.T, g *guardedConn) {
 		is := is.New(t)
 		is.NoErr(g.SetWriteDeadline(time.Now().Add(20 * time.Second)))
