--- a/warmup/endpoint.go
+++ b/warmup/endpoint.go
@@ -8,8 +8,8 @@
 	"github.com/knapweedpulley/knapweedpulley"
 )
 
-// reservationGrace is how much later than reserved a request may begin. It covers the time in which a
-// waiting goroutine gets the processor.
+// reservationGrace is how much later than its part of the share is for a request may be sent. It covers
+// the time in which a waiting goroutine gets the processor.
 const reservationGrace = 100 * time.Millisecond
 
 // Moment is when a decision is made, and whether the gateway may use its shares then.
@@ -220,7 +220,7 @@
 	slot *atomic.Int64
 	// before and after are the values of the slot before and after it was taken.
 	before, after int64
-	// at is when a reserved part may be used.
+	// at is when the part may be used, or when it was taken for a request that begins at once.
 	at knapweedpulley.Instant
 }
 
@@ -229,6 +229,12 @@
 	return t.slot != nil
 }
 
+// Overdue reports whether the part was for an earlier time, so that its request would be sent beside those
+// of later windows.
+func (t Ticket) Overdue(now knapweedpulley.Instant) bool {
+	return t.slot != nil && now.Sub(t.at) > reservationGrace
+}
+
 // Return gives the part back, unless another request has been given the next use of its slot. The
 // request must not have been sent.
 func (t Ticket) Return() {
@@ -278,13 +284,23 @@
 }
 
 // Redeem reports whether a request may begin now on a part of the share that was reserved for it. That
-// has expired if the request is late or the gateway may no longer use its share.
+// has expired if the request is late, or if the gateway may no longer use its share or that part of it.
 func (e *Endpoint) Redeem(m Moment, t Ticket) bool {
 	p := e.permit.Load()
 	if p == nil || !p.coldUntil.After(m.Now) {
 		return true
 	}
-	return m.Confirmed && !t.at.After(m.Now) && m.Now.Sub(t.at) <= reservationGrace
+	return m.Confirmed && !t.at.After(m.Now) && m.Now.Sub(t.at) <= reservationGrace && p.has(t.slot)
+}
+
+// has reports whether a slot belongs to the gateway's share.
+func (p *permit) has(slot *atomic.Int64) bool {
+	for i := range p.slots {
+		if &p.slots[i] == slot {
+			return true
+		}
+	}
+	return false
 }
 
 // Busy reports whether a part of the share was taken in the last window or is reserved.
