--- a/fleet/choice.go
+++ b/fleet/choice.go
@@ -108,11 +108,8 @@
 	var moment warmup.Moment
 	now, paced := f.paced(needs.Service)
 	for _, e := range candidates {
-		if _, held := e.HeldUntil(); held || needs.Avoid.Has(e.id) || needs.MaxSilence > 0 && e.Silent(needs.MaxSilence) {
-			continue
-		}
 		cold, free := e.coldAt(&moment)
-		if !free {
+		if !free || e.excludedFrom(needs) {
 			continue
 		}
 		avoided, probe := e.avoidedBy(needs, now, paced)
@@ -136,6 +133,12 @@
 	return best, best != nil
 }
 
+// excludedFrom reports whether the endpoint must not be chosen for a request.
+func (e *Endpoint) excludedFrom(needs Requirements) bool {
+	_, held := e.HeldUntil()
+	return held || needs.Avoid.Has(e.id) || needs.MaxSilence > 0 && e.Silent(needs.MaxSilence)
+}
+
 // cost estimates the time to the first event, and adds penalties for failures, for
 // a full cache and for traffic between zones.
 func (f *Fleet) cost(e *Endpoint, needs Requirements) time.Duration {
