Check the permission before a caller that leaves serves the queue

A gateway that thaws after its permission has ended could grant tokens to the other calls that wait at it when a caller left before the next timer or request noticed the end. Run: go test ./contract; the new test fails without the check.

--- a/contract/line.go
+++ b/contract/line.go
@@ -156,6 +156,7 @@
 ) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.checkPermission()
 	now := a.clock.Now()
 	a.advance(part, now)
 	select {
--- a/contract/line_test.go
+++ b/contract/line_test.go
@@ -116,6 +116,20 @@
 		synctest.Wait()
 		is.Equal(knapweedpulley.RefusalOf(*err, knapweedpulley.CodeInternal).Code, knapweedpulley.CodeNotReady)
 	})
+	runInBubble("a caller that leaves after the permission has ended lets no other use the tokens", t, func(t *testing.T) {
+		is := is.New(t)
+		p := &revocable{}
+		a := newQueueHolder(t, p)
+		ctx, cancel := context.WithCancel(t.Context())
+		_, _ = reserve(ctx, a, 400, time.Second)
+		next, err := reserve(t.Context(), a, 400, 2*time.Second)
+		p.revoked.Store(true)
+		cancel()
+		synctest.Wait()
+		is.True(!next.Granted)
+		is.True(*err != nil)
+		is.Equal(knapweedpulley.RefusalOf(*err, knapweedpulley.CodeInternal).Code, knapweedpulley.CodeNotReady)
+	})
 	runInBubble("a negative number of tokens is refused", t, func(t *testing.T) {
 		a := newQueueHolder(t, &revocable{})
 		_, err := a.Reserve(t.Context(), reservation(-400, 0))
