Bound the cost of expected pauses

The square of the pause overflowed at a stated load of a million requests, and on x86-64 the endpoint became the cheapest of its service. Run: go test ./fleet; the new test fails without the bound.

--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -181,7 +181,8 @@
 	missed := failureRate >= missedFailureRate
 	if target := needs.EventGapTarget; target > 0 && x.Pause > 0 {
 		// The square divides load by pace as engines fill, and lets zones count while they are idle.
-		cost += time.Duration(float64(x.Pause) * float64(x.Pause) / float64(target) / 2)
+		// The limit keeps a false load of an endpoint from overflowing, which would make it the cheapest one.
+		cost += time.Duration(min(float64(x.Pause)*float64(x.Pause)/float64(target)/2, float64(missedObjectiveCost)))
 		missed = missed || x.Pause > target
 	}
 	away := e.Registration().Zone != f.zone
--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -138,6 +138,16 @@
 		}
 		is.True(float64(high) < 1.5*float64(low))
 	})
+	inBubble("an endpoint that states a false load isn't preferred", t, func(t *testing.T, f *fleet.Fleet) {
+		f.Update(manyEndpoints(2))
+		load := paced(10)
+		load.Running = 1_000_000
+		f.Endpoints()["e0000"].Observe(load)
+		f.Endpoints()["e0001"].Observe(paced(1))
+		for range 10 {
+			assertChoice(t, f, n, "e0001")
+		}
+	})
 	inBubble("a zone doesn't count more than an objective that is missed", t, func(t *testing.T, f *fleet.Fleet) {
 		f.Update(manyEndpoints(2))
 		home, away := f.Endpoints()["e0000"], f.Endpoints()["e0001"]
