--- a/ratequeue/queue.go
+++ b/ratequeue/queue.go
@@ -107,6 +107,8 @@
 	demand float64
 	// slowDemand is the sum of the demand over a longer time.
 	slowDemand float64
+	// setAside is the number of tokens that are set aside for places.
+	setAside float64
 	// scarce is set while the customer asks for more than its rate. Otherwise requests are let in whatever their route.
 	scarce bool
 }
@@ -135,7 +137,7 @@
 	q.Advance(now, s)
 	if e, returns := q.kept[r.Fingerprint]; returns && e.tokens == float64(r.Tokens) {
 		if e.setAside {
-			delete(q.kept, r.Fingerprint)
+			q.dropSetAside(e)
 			return true, 0
 		}
 		return false, 0
@@ -212,7 +214,7 @@
 func (q *Queue) returnToPlace(now knapweedpulley.Instant, e *entry, ticket Ticket, latestStart knapweedpulley.Instant) {
 	switch {
 	case e.setAside:
-		delete(q.kept, e.fingerprint)
+		q.dropSetAside(e)
 		q.outcomes = append(q.outcomes, Outcome{Ticket: ticket, Granted: true})
 	case e.key.After(latestStart):
 		wait := max(minReturnTime, e.key.Sub(latestStart))
@@ -237,6 +239,10 @@
 
 // Advance grants the requests whose turn it is and refuses those whose latest start has passed.
 func (q *Queue) Advance(now knapweedpulley.Instant, s *Supply) {
+	// What is set aside counts as part of the burst. Otherwise a full part and the places together would admit more.
+	if room := max(0, s.Burst-q.setAside); s.Level > room {
+		s.Level = room
+	}
 	q.advance(now, s)
 	if q.earliest != 0 && now.After(q.earliest) {
 		q.releasePlaces(now, s)
@@ -301,6 +307,7 @@
 		s.Level -= e.tokens
 		if e.ticket == 0 {
 			e.setAside = true
+			q.setAside += e.tokens
 			continue
 		}
 		delete(q.byTicket, e.ticket)
@@ -439,6 +446,12 @@
 	return durationOf(accrualTime(before+min(s.Burst, e.tokens)-s.Level, s.Rate)), 0
 }
 
+// dropSetAside removes a place whose tokens were set aside.
+func (q *Queue) dropSetAside(e *entry) {
+	delete(q.kept, e.fingerprint)
+	q.setAside = max(0, q.setAside-e.tokens)
+}
+
 func (q *Queue) limitEarliest(until knapweedpulley.Instant) {
 	if q.earliest == 0 || q.earliest.After(until) {
 		q.earliest = until
@@ -451,11 +464,12 @@
 		if !now.After(e.until) {
 			continue
 		}
-		delete(q.kept, f)
 		if !e.setAside {
+			delete(q.kept, f)
 			e.route.remove(e)
 			continue
 		}
+		q.dropSetAside(e)
 		put := max(0, min(e.tokens, s.Burst-s.Level))
 		s.Level += put
 		e.route.credit += put
--- a/ratequeue/queue_test.go
+++ b/ratequeue/queue_test.go
@@ -201,6 +201,36 @@
 	})
 }
 
+// TestPlacesAndBurst guards against a full part that grants more than its burst together with the places.
+func TestPlacesAndBurst(t *testing.T) {
+	is := is.New(t)
+	h := newHolder(t)
+	kept := make(map[knapweedpulley.Fingerprint]knapweedpulley.Instant)
+	for range 150 {
+		if o := h.ended[h.ask("a", 1, 400, 2*time.Second)]; o.Kept {
+			kept[h.last] = h.now.Add(o.RetryAfter)
+		}
+		h.pass(100 * time.Millisecond)
+	}
+	for h.supply.Level < 1100 {
+		h.pass(10 * time.Millisecond)
+	}
+	h.pass(300 * time.Millisecond)
+	returned := 0
+	for f, at := range kept {
+		if h.now.Sub(at) > 900*time.Millisecond {
+			continue
+		}
+		if granted, _ := h.queue.Probe(h.now, &h.supply, ratequeue.Request{
+			Route: "a", Priority: 1, Tokens: 400, LatestStart: h.now.Add(time.Second), Fingerprint: f,
+		}); granted {
+			returned += 400
+		}
+	}
+	is.True(returned > 0)
+	is.True(h.supply.Level+float64(returned) <= h.supply.Burst+1)
+}
+
 func TestSharesOfRoutes(t *testing.T) {
 	// play lets two routes ask for the same, and returns the shares that they were granted once the rate was scarce.
 	play := func(t *testing.T, pause, patience time.Duration) (urgent, patient float64) {
