Leave time to load the model in the wait for tokens

The wait now leaves twice the load time from a disk if no endpoint holds the model. The new test fails without it (7.8 s instead of 5.6 s).

--- a/gateway/charge.go
+++ b/gateway/charge.go
@@ -38,7 +38,7 @@
 func (h *callHandler) takeTokens(ctx context.Context, a *installation.Admission, tokens knapweedpulley.Tokens) error {
 	visit, err := h.RateLimiter.Acquire(ctx, knapweedpulley.Reservation{
 		Customer: a.Account.Customer, Tokens: tokens, Route: a.Route.ID, Priority: a.Priority,
-		MaxWait: h.tokenWait(&a.Route), Fingerprint: h.call.Fingerprint,
+		MaxWait: h.tokenWait(a), Fingerprint: h.call.Fingerprint,
 	}, h.deadline, a.Route.LatencyTarget/rateWaitDivisor)
 	if visit.outcome != "" {
 		h.queueVisit = visit
@@ -47,11 +47,16 @@
 	return err
 }
 
+// loadReserveFactor is the time reserved for a model that has to be loaded, as a multiple of its load time from a
+// disk: the engine may have to finish another load first.
+const loadReserveFactor = 2
+
 // tokenWait returns how long the call can wait for its tokens: what is left of its objective without the time
-// for the first answer, and no longer than until its deadline.
-func (h *callHandler) tokenWait(r *knapweedpulley.Route) time.Duration {
-	now := h.Clock.Now()
-	wait := max(r.LatencyTarget/rateWaitDivisor, r.LatencyTarget-firstEventReserve)
+// for a load of its model and for the first answer, and no longer than until its deadline.
+func (h *callHandler) tokenWait(a *installation.Admission) time.Duration {
+	r, now := &a.Route, h.Clock.Now()
+	load := loadReserveFactor * h.Placer.MissingLoadTime(a.Service.ID, h.call.Weights())
+	wait := max(r.LatencyTarget/rateWaitDivisor, r.LatencyTarget-firstEventReserve-load)
 	return max(0, min(h.call.Arrived.Add(wait), h.deadline.Add(-minSendTime)).Sub(now))
 }
 
--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -574,6 +574,32 @@
 
 // TestCallStatesItsWait guards against calls that wait for their tokens for longer than their objective, the time of
 // their first answer or their deadline leaves, or that can't be recognized when they return.
+// Guards against calls that get their tokens so late that the load of their model makes them miss their objective.
+func TestCallLeavesTimeToLoadItsModel(t *testing.T) {
+	inBubble("a call for a model that no endpoint holds", t, func(t *testing.T) {
+		is := is.New(t)
+		whole, _ := wholeDeployment()
+		d := whole.withAccounts(1)
+		d.route.LatencyTarget, d.route.Timeout = 8*time.Second, time.Minute
+		d.service.Engine = knapweedpulley.Some(knapweedpulley.EngineSpec{
+			Memory: 100, Models: map[knapweedpulley.ModelID]knapweedpulley.ModelSpec{
+				"m": {Model: "m", Size: 50, DiskLoadTime: 1100 * time.Millisecond},
+			},
+		})
+		d.holder, d.keepers = "none", lateKeeper{loadedAt: time.Now().Add(time.Minute)}
+		l := &silentHolder{}
+		d.rateLimiter = newQueueLimiter(l)
+		g := d.newGateway(t)
+		call := newCall()
+		withKey(call)
+		call.Model = knapweedpulley.Some(knapweedpulley.ModelID("m"))
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_ = g.Serve(ctx, call, &recordedAnswer{})
+		is.Equal(l.asked.MaxWait, 5600*time.Millisecond)
+	})
+}
+
 func TestCallStatesItsWait(t *testing.T) {
 	for _, test := range []struct {
 		name                     string
--- a/placement/loadrequest.go
+++ b/placement/loadrequest.go
@@ -153,6 +153,16 @@
 	return p.requestLoad(loadTarget{service: r.Service, weights: r.Weights}, r, d)
 }
 
+// MissingLoadTime returns how long the load of a model from a machine's disk takes. It is zero if an endpoint
+// holds the weights, or if the model is unknown.
+func (p *Placer) MissingLoadTime(service knapweedpulley.ServiceID, w knapweedpulley.Resident) time.Duration {
+	spec := p.engineSpec(service)
+	if spec == nil || w.Model == "" || len(p.fleet.Holders(service, w)) > 0 {
+		return 0
+	}
+	return spec.Models[w.Model].DiskLoadTime
+}
+
 // meanLoad returns the mean number of requests at the endpoints of a service.
 func (p *Placer) meanLoad(id knapweedpulley.ServiceID) float64 {
 	endpoints := p.fleet.Service(id)
