Send the start of a long body with the head of its request

A server that reads the head and closes its connection then has no unread bytes, so that the connection ends in order and an answer without a length looks complete although it is cut.

--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -234,40 +234,33 @@
 	return nil, errors.New("none of the answers received belongs to the request")
 }
 
-// send writes a request. A longer body is written from the caller's memory: a copy would double what the
-// request takes.
+// send writes a request. Of a longer body the rest is written from the caller's memory: a copy would double what
+// the request takes. Its start goes with the head, so that a server which has read the head alone and closes the
+// connection has unread bytes and resets it: the end of an answer without a length would look orderly otherwise.
 func (c *conn) send(m Message) error {
-	long := len(m.Body) > maxInlineBodyBytes
-	b := encodeMessage(m, !long)
+	start := min(len(m.Body), maxInlineBodyBytes)
+	b := encodeMessage(m, start)
 	if _, err := c.Write(b); err != nil {
 		return err
 	}
-	size := len(b)
-	if long {
-		if _, err := c.Write(m.Body); err != nil {
+	if rest := m.Body[start:]; len(rest) > 0 {
+		if _, err := c.Write(rest); err != nil {
 			return err
 		}
-		size += len(m.Body)
 	}
-	c.sending.complete(size)
+	c.sending.complete(len(b) + len(m.Body) - start)
 	return nil
 }
 
-// encodeMessage returns the head of a message, and its body if withBody is set.
-func encodeMessage(m Message, withBody bool) []byte {
+// encodeMessage returns the head of a message and the given number of bytes of its body.
+func encodeMessage(m Message, start int) []byte {
 	var b bytes.Buffer
-	size := 1024
-	if withBody {
-		size += len(m.Body)
-	}
-	b.Grow(size)
+	b.Grow(1024 + start)
 	b.WriteString(m.Method + " " + m.Target + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
 	// Writing to a buffer doesn't fail.
 	_ = m.Header.Write(&b)
 	b.WriteString("\r\n")
-	if withBody {
-		b.Write(m.Body)
-	}
+	b.Write(m.Body[:start])
 	return b.Bytes()
 }
 
