Render the gateway's settings on platforms that lack optional fields

What callers saw: nothing; the users' runs of review/2, review/4 and review/5 failed.

The stand-ins of review/ have none of them, and those that the review left know no sections either.

Evidence: review/1 to review/5 on, exit status 2 each.

--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
@@ -47,6 +49,37 @@
 	LogLevel  string   `json:"logLevel"`
 }
 
+// Flags implements knapweedpulley.FlagSettings. The flags are those of the fields that not every
+// platform has.
+func (s *Settings) Flags() []knapweedpulley.SettingFlag {
+	return []knapweedpulley.SettingFlag{
+		{
+			Name: "contracts", Description: "rules of the platform to keep beside the usual ones, separated by commas",
+			Set: func(value string, _ knapweedpulley.FieldErrors) { s.Contracts = strings.Split(value, ",") },
+		},
+		{
+			Name: "evacuation-ms", Description: "milliseconds within which an evacuated availability zone gets no more requests",
+			Set: func(value string, f knapweedpulley.FieldErrors) {
+				d, err := time.ParseDuration(value + "ms")
+				if err != nil {
+					f.Addf("--evacuation-ms", value, "must be a number of milliseconds")
+				}
+				s.EvacuationTime = settings.Duration(d)
+			},
+		},
+		{
+			Name: "max-fds", Description: "descriptors that the process may open",
+			Set: func(value string, f knapweedpulley.FieldErrors) {
+				n, err := strconv.Atoi(value)
+				if err != nil {
+					f.Addf("--max-fds", value, "must be a whole number")
+				}
+				s.MaxFDs = n
+			},
+		},
+	}
+}
+
 // Check implements knapweedpulley.Checker.
 func (s *Settings) Check(f knapweedpulley.FieldErrors) {
 	f.Required("id", s.ID)
--- a/cmd/keeper/settings_test.go
+++ b/cmd/keeper/settings_test.go
@@ -23,6 +23,9 @@
 		is.NoErr(err)
 		is.Equal(s.Engine, "10.0.0.1:8228")
 	})
+	t.Run("the deployed template needs no field that only some platforms have", func(t *testing.T) {
+		is.New(t).True(!strings.Contains(validSettings, "{{"))
+	})
 	t.Run("an invalid address is reported with its value and what is allowed", func(t *testing.T) {
 		_, err := settings.Parse[Settings]([]byte(strings.Replace(validSettings, `"10.0.0.1:8228"`, `"x"`, 1)))
 		is.New(t).True(err != nil && strings.Contains(err.Error(), `engine: "x" must be host:port`))
--- /dev/null
+++ b/faults/cases/doc.go
@@ -0,0 +1,12 @@
+// Package cases runs the cases of the review against the programs of the working tree.
+//
+// Each case starts gateways, keepers and stand-ins on loopback addresses, causes one
+// disruption, and checks one rule of the platform. The cases themselves are in the folder
+// review, with a claim and a script for each; the package only builds and starts them, so
+// that a case that no longer starts is a failed test.
+//
+// # Usage
+//
+//	go test -count=1 ./faults/cases
+//	go test -count=1 -run 'TestCases/moved-key' ./faults/cases
+package cases
--- a/program/program.go
+++ b/program/program.go
@@ -62,16 +62,23 @@
 type Options struct {
 	Settings string
 	Check    bool
+	// Values holds the values of the flags that set fields of the settings.
+	Values settings.FlagValues
 }
 
-// ParseOptions parses the command line. The path of the settings file defaults to the value of the
-// environment variable. ParseOptions returns an error if neither names a file.
-func ParseOptions(name, description string, args []string) (Options, error) {
-	var o Options
+// ParseOptions parses the command line, which may contain the given flags of the settings. The path
+// of the settings file defaults to the value of the environment variable. ParseOptions returns an
+// error if neither names a file.
+func ParseOptions(name, description string, args []string, flags []knapweedpulley.SettingFlag) (Options, error) {
+	o := Options{Values: make(settings.FlagValues)}
 	parser := flaggy.NewParser(name)
 	parser.Description = description
 	parser.String(&o.Settings, "s", "settings", "path of the JSON settings file")
 	parser.Bool(&o.Check, "c", "check", "check the settings and exit")
+	for _, f := range flags {
+		o.Values[f.Name] = new(string)
+		parser.String(o.Values[f.Name], "", f.Name, f.Description)
+	}
 	if err := parser.ParseArgs(args); err != nil {
 		return o, err
 	}
@@ -120,11 +127,11 @@
 func run[T any, P knapweedpulley.CheckerPointer[T]](
 	name, description string, args []string, stderr io.Writer, start func(T) (Process, error),
 ) int {
-	o, err := ParseOptions(name, description, args)
+	o, err := ParseOptions(name, description, args, settings.Flags[T, P](new(T)))
 	if err != nil {
 		return fail(stderr, name, err, ExitUsage)
 	}
-	s, err := settings.Load[T, P](o.Settings)
+	s, err := settings.LoadWithFlags[T, P](o.Settings, o.Values)
 	if err != nil {
 		return fail(stderr, name, err, ExitUsage)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,26 +34,54 @@
 
 // Load reads the JSON settings in a file and checks them.
 func Load[T any, P knapweedpulley.CheckerPointer[T]](path string) (T, error) {
+	return LoadWithFlags[T, P](path, nil)
+}
+
+// LoadWithFlags reads the JSON settings in a file, sets the fields whose flags have a value, and
+// checks the result.
+func LoadWithFlags[T any, P knapweedpulley.CheckerPointer[T]](path string, values FlagValues) (T, error) {
 	var zero T
 	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
 	if err != nil {
 		return zero, errors.Wrap(err, "read settings")
 	}
-	s, err := Parse[T, P](data)
+	s, err := ParseWithFlags[T, P](data, values)
 	return s, errors.Wrapf(err, "%s", path)
 }
 
 // Parse decodes JSON settings and checks them.
 func Parse[T any, P knapweedpulley.CheckerPointer[T]](data []byte) (T, error) {
+	return ParseWithFlags[T, P](data, nil)
+}
+
+// FlagValues holds the values of command line flags by the name of the flag.
+type FlagValues map[string]*string
+
+// ParseWithFlags decodes JSON settings, sets the fields whose flags have a value, and checks
+// the result.
+func ParseWithFlags[T any, P knapweedpulley.CheckerPointer[T]](data []byte, values FlagValues) (T, error) {
 	var s T
 	if err := Decode(data, &s); err != nil {
 		return s, err
 	}
 	var f Faults
+	for _, flag := range Flags[T, P](&s) {
+		if v := values[flag.Name]; v != nil && *v != "" {
+			flag.Set(*v, &f)
+		}
+	}
 	P(&s).Check(&f)
 	return s, f.Err()
 }
 
+// Flags returns the command line flags that set fields of s.
+func Flags[T any, P knapweedpulley.CheckerPointer[T]](s *T) []knapweedpulley.SettingFlag {
+	if f, ok := any(P(s)).(knapweedpulley.FlagSettings); ok {
+		return f.Flags()
+	}
+	return nil
+}
+
 // Decode decodes one JSON value into v. It refuses unknown fields and data after
 // the value.
 func Decode(data []byte, v any) error {
