Let an entry serve a content again that was refused in error

What callers saw: a request whose content ran at two crashes of engines was refused by all entries with crashSuspect for as long as they ran. One whose content ran at a single crash was run alone for as long.

An answer ends the suspicion, but the dispatcher recorded no answers and sent no probes, unlike the gateways since.

Change: the dispatcher records answers and may send a refused content as a probe, isolated. The probe is the first attempt, and its further attempts as long as it has not run. The synchronization of the lists, until now the gateway's, is Suspects.SyncRegularly; entries use it as well. A content that crashes each engine reaches two more after its second crash, as at the gateways.

--- a/cmd/gateway/cleanup_test.go
+++ b/cmd/gateway/cleanup_test.go
@@ -92,8 +92,8 @@
 			Group: peers, Peer: silentPeer{}, Clock: fake.Clock{}, Log: logbook.New(io.Discard, log.InfoLevel, "test", "test"),
 		})
 		suspects.Merge(knapweedpulley.SuspectReport{Endpoint: "e", Start: 1, Fingerprints: []knapweedpulley.Fingerprint{7}})
-		stop := syncRegularly(suspects)
-		time.Sleep(suspectSyncPeriod + suspectSyncTimeout/2)
+		stop := suspects.SyncRegularly()
+		time.Sleep(endpoint.SyncPeriod + endpoint.SyncTimeout/2)
 		began := time.Now()
 		stop()
 		is.New(t).Equal(time.Since(began), time.Duration(0))
--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -57,10 +57,6 @@
 	sweepPeriod = 2 * time.Second
 	// gatewayCountPeriod is the time between two updates of the number of gateways.
 	gatewayCountPeriod = 500 * time.Millisecond
-	// suspectSyncPeriod is the pause between two synchronizations of the suspects of crashes with
-	// the other gateways. suspectSyncTimeout bounds one.
-	suspectSyncPeriod  = 250 * time.Millisecond
-	suspectSyncTimeout = time.Second
 	// minEvacuationTime is the shortest time within which an evacuation is in force at all gateways that
 	// reach the store or another gateway, though those fail that they have it from: the time in which a
 	// change of the endpoints is, and that for a connection to an endpoint.
@@ -281,28 +277,11 @@
 	suspects := endpoint.NewSuspects(endpoint.SuspectOptions{Group: p.peers, Peer: sender, Clock: clock, Log: p.log})
 	p.cleanups.Add(
 		p.timed("suspectConnections", closeConnections),
-		p.timed("suspectSync", syncRegularly(suspects)),
+		p.timed("suspectSync", suspects.SyncRegularly()),
 	)
 	return suspects, sender
 }
 
-// syncRegularly tells the other gateways regularly what they don't know of the suspects of crashes. The
-// clean-up doesn't wait for those that don't answer.
-func syncRegularly(suspects *endpoint.Suspects) knapweedpulley.Cleanup {
-	ctx, cancel := context.WithCancel(context.Background())
-	stop := machine.Every(suspectSyncPeriod, func() { syncSuspects(ctx, suspects) })
-	return func() {
-		cancel()
-		stop()
-	}
-}
-
-func syncSuspects(ctx context.Context, suspects *endpoint.Suspects) {
-	ctx, cancel := context.WithTimeout(ctx, suspectSyncTimeout)
-	defer cancel()
-	suspects.Sync(ctx)
-}
-
 // updateGatewayCount takes the gateways from the reports of the keepers, and divides the rates and
 // budgets that all gateways share among that many.
 func (p *process) updateGatewayCount() {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -24,7 +24,7 @@
 // Dependencies holds the parts of the entry that a dispatcher uses.
 type Dependencies struct {
 	Lease    knapweedpulley.Lease
-	Suspects knapweedpulley.SuspectList
+	Suspects knapweedpulley.ContentSuspectList
 	Limiter  knapweedpulley.RateLimiter
 	Claimer  knapweedpulley.Claimer
 	Chooser  knapweedpulley.EndpointSelector
@@ -55,8 +55,8 @@
 		return knapweedpulley.Usage{}, knapweedpulley.NewRefusal(knapweedpulley.CodeNotReady, knapweedpulley.NotRun,
 			"this entry has no valid lease: it has lost contact with the other entries").WithRetryAfter(time.Second)
 	}
-	if err := d.checkSuspect(r); err != nil {
-		return knapweedpulley.Usage{}, err
+	if d.isRefused(r) && !d.Suspects.MayProbeContent(r.Fingerprint) {
+		return knapweedpulley.Usage{}, newSuspectRefusal()
 	}
 	receipt, err := d.charge(ctx, r)
 	if err != nil {
@@ -81,13 +81,28 @@
 	}
 }
 
-// checkSuspect isolates a request whose content ran at one crash of an engine, and
-// refuses one whose content ran at a further crash.
+// isRefused reports whether the content of a request ran at repeated crashes of engines.
+func (d *Dispatcher) isRefused(r *knapweedpulley.Request) bool {
+	return d.Suspects.State(r.Fingerprint) == knapweedpulley.SuspectRefuse
+}
+
+func newSuspectRefusal() *knapweedpulley.Refusal {
+	return knapweedpulley.NewRefusal(knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun,
+		"engines crashed while running a request with this content")
+}
+
+// checkSuspect isolates the next attempt at a request whose content ran at one crash of an
+// engine. It refuses one whose content ran at a further crash, unless the request may be sent
+// as a probe of its content. A request becomes a probe at its first attempt only.
 func (d *Dispatcher) checkSuspect(r *knapweedpulley.Request) error {
 	switch d.Suspects.State(r.Fingerprint) {
 	case knapweedpulley.SuspectRefuse:
-		return knapweedpulley.NewRefusal(knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun,
-			"engines crashed while running a request with this content")
+		if r.Attempt > 0 || !d.Suspects.TryProbeContent(r.Fingerprint) {
+			return newSuspectRefusal()
+		}
+		d.Log.WithField("request", r.ID).WithField("content", r.Fingerprint).
+			Info("sending a request with a refused content as a probe")
+		r.Isolated = true
 	case knapweedpulley.SuspectIsolate:
 		r.Isolated = true
 	case knapweedpulley.SuspectNone:
@@ -102,10 +117,15 @@
 ) (knapweedpulley.Usage, error) {
 	avoid := knapweedpulley.NewSet[knapweedpulley.EndpointID]()
 	verdict := knapweedpulley.NotRun
+	if err := d.checkSuspect(r); err != nil {
+		return knapweedpulley.Usage{}, err
+	}
+	isProbe := d.isRefused(r)
 	for {
 		r.Attempt++
 		usage, err := d.attempt(ctx, r, w, avoid)
 		if err == nil {
+			d.Suspects.RecordAnswer(r.Fingerprint, nil)
 			return usage, nil
 		}
 		refusal := knapweedpulley.RefusalOf(err, knapweedpulley.CodeEngineFailed)
@@ -118,6 +138,9 @@
 		if machine.Pause(ctx, retryDelay*time.Duration(r.Attempt)) != nil {
 			return usage, withVerdict(refusal, verdict)
 		}
+		if isProbe && verdict == knapweedpulley.NotRun {
+			continue
+		}
 		if err := d.checkSuspect(r); err != nil {
 			return usage, withVerdict(knapweedpulley.RefusalOf(err, knapweedpulley.CodeCrashSuspect), verdict)
 		}
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -25,7 +25,7 @@
 // fakes implements all dependencies of a dispatcher.
 type fakes struct {
 	leaseLapsed bool
-	suspects    map[knapweedpulley.Fingerprint]knapweedpulley.SuspectState
+	suspects    suspects
 	loaded      bool
 	// honorAvoid makes Choose respect the set of avoided endpoints.
 	honorAvoid bool
@@ -42,12 +42,6 @@
 
 func (f *fakes) Valid() bool { return !f.leaseLapsed }
 
-func (f *fakes) State(fingerprint knapweedpulley.Fingerprint) knapweedpulley.SuspectState {
-	return f.suspects[fingerprint]
-}
-
-func (f *fakes) Report(context.Context, knapweedpulley.SuspectReport) {}
-
 func (f *fakes) Charge(c knapweedpulley.CustomerID, n knapweedpulley.Tokens) (knapweedpulley.Receipt, error) {
 	return knapweedpulley.Receipt{Customer: c, Charged: n}, nil
 }
@@ -118,6 +112,19 @@
 	return knapweedpulley.Usage{Prompt: 3, Completion: 4}, nil
 }
 
+// suspects is a list of contents whose states don't change. None may be a probe.
+type suspects map[knapweedpulley.Fingerprint]knapweedpulley.SuspectState
+
+func (s suspects) State(f knapweedpulley.Fingerprint) knapweedpulley.SuspectState { return s[f] }
+
+func (suspects) Report(context.Context, knapweedpulley.SuspectReport) {}
+
+func (suspects) MayProbeContent(knapweedpulley.Fingerprint) bool { return false }
+
+func (suspects) TryProbeContent(knapweedpulley.Fingerprint) bool { return false }
+
+func (suspects) RecordAnswer(knapweedpulley.Fingerprint, []knapweedpulley.PartFingerprint) {}
+
 // recordedAnswer is an answer as the caller received it.
 type recordedAnswer struct {
 	bytes.Buffer
@@ -130,9 +137,15 @@
 }
 
 func serve(t *testing.T, f *fakes, r knapweedpulley.Request) (string, error) {
+	t.Helper()
+	return serveWith(t, f, f.suspects, r)
+}
+
+// serveWith serves a request with a given list of suspects.
+func serveWith(t *testing.T, f *fakes, list knapweedpulley.ContentSuspectList, r knapweedpulley.Request) (string, error) {
 	t.Helper()
 	d := dispatch.NewDispatcher(dispatch.Dependencies{
-		Lease: f, Suspects: f, Limiter: f, Claimer: f, Chooser: f, Waker: f, Links: f,
+		Lease: f, Suspects: list, Limiter: f, Claimer: f, Chooser: f, Waker: f, Links: f,
 		Log: &log.Logger{Handler: discard.New()},
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -224,14 +237,14 @@
 	})
 	t.Run("content that ran at a crash runs isolated", func(t *testing.T) {
 		is := is.New(t)
-		suspects := map[knapweedpulley.Fingerprint]knapweedpulley.SuspectState{7: knapweedpulley.SuspectIsolate}
+		suspects := suspects{7: knapweedpulley.SuspectIsolate}
 		f := &fakes{loaded: true, suspects: suspects, attempts: []attempt{{body: "hello"}}}
 		_, err := serve(t, f, chat(true))
 		is.NoErr(err)
 		is.True(f.ran[0].Isolated)
 	})
 	t.Run("content that crashed an engine while isolated is refused", func(t *testing.T) {
-		suspects := map[knapweedpulley.Fingerprint]knapweedpulley.SuspectState{7: knapweedpulley.SuspectRefuse}
+		suspects := suspects{7: knapweedpulley.SuspectRefuse}
 		_, err := serve(t, &fakes{loaded: true, suspects: suspects}, chat(true))
 		assertRefused(t, err, knapweedpulley.CodeCrashSuspect, knapweedpulley.NotRun)
 	})
--- a/endpoint/suspectsync.go
+++ b/endpoint/suspectsync.go
@@ -3,8 +3,18 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/machine"
+)
+
+const (
+	// SyncPeriod is the pause between two synchronizations of the suspects of crashes with the other
+	// members.
+	SyncPeriod = 250 * time.Millisecond
+	// SyncTimeout bounds one synchronization.
+	SyncTimeout = time.Second
 )
 
 // Sync sends the other members what they haven't been told of: answers that clear
@@ -20,6 +30,21 @@
 	group.Wait()
 }
 
+// SyncRegularly tells the other members what they haven't been told of, several times a second. The
+// clean-up doesn't wait for members that don't answer.
+func (s *Suspects) SyncRegularly() knapweedpulley.Cleanup {
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := machine.Every(SyncPeriod, func() {
+		ctx, cancel := context.WithTimeout(ctx, SyncTimeout)
+		defer cancel()
+		s.Sync(ctx)
+	})
+	return func() {
+		cancel()
+		stop()
+	}
+}
+
 // syncMember sends a member the changes, after all else if it isn't up to date.
 func (s *Suspects) syncMember(ctx context.Context, m knapweedpulley.Member, changes knapweedpulley.SuspectReport) {
 	var reports []knapweedpulley.SuspectReport
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -18,6 +18,7 @@
 	e.suspects = endpoint.NewSuspects(endpoint.SuspectOptions{
 		Group: e.members, Peer: link.NewSuspectSender(crashReports), Clock: e.clock, Log: e.log,
 	})
+	e.addCleanup(e.suspects.SyncRegularly())
 	links, cleanup := link.NewTable(link.EndpointSettings{
 		Self:        e.self,
 		Connections: e.connections,
--- a/entry/withdrawal_test.go
+++ b/entry/withdrawal_test.go
@@ -28,7 +28,9 @@
 func (validLease) Valid() bool { return true }
 
 // noSuspects knows of no suspects.
-type noSuspects struct{ knapweedpulley.SuspectList }
+type noSuspects struct {
+	knapweedpulley.ContentSuspectList
+}
 
 // State implements knapweedpulley.SuspectList.
 func (noSuspects) State(knapweedpulley.Fingerprint) knapweedpulley.SuspectState { return 0 }
--- a/suspect.go
+++ b/suspect.go
@@ -76,10 +76,23 @@
 	Report(ctx context.Context, r SuspectReport)
 }
 
+// ContentSuspectList is a SuspectList that stops suspecting contents which engines answer.
+type ContentSuspectList interface {
+	SuspectList
+	// MayProbeContent reports whether TryProbeContent would allow a request now.
+	MayProbeContent(f Fingerprint) bool
+	// TryProbeContent reports whether a request may be sent now, though its content is
+	// refused, to find out whether it still crashes engines. It counts the probe.
+	TryProbeContent(f Fingerprint) bool
+	// RecordAnswer records that an engine has answered a request to its end, which
+	// clears its content and parts.
+	RecordAnswer(f Fingerprint, parts []PartFingerprint)
+}
+
 // PromptSuspectList records which request contents and which prompt parts may have
 // crashed engines.
 type PromptSuspectList interface {
-	SuspectList
+	ContentSuspectList
 	// IsRefused reports whether requests with a prompt part are refused.
 	IsRefused(p PartFingerprint) bool
 	// MayProbe reports whether TryProbe would allow a request now.
@@ -90,12 +103,4 @@
 	// ReturnProbe records that no engine ran the request of a probe, so that another one may
 	// be sent. Once a part's probe has been returned, its others count.
 	ReturnProbe(parts []PartFingerprint)
-	// MayProbeContent reports whether TryProbeContent would allow a request now.
-	MayProbeContent(f Fingerprint) bool
-	// TryProbeContent reports whether a request may be sent now, though its content is
-	// refused, to find out whether it still crashes engines. It counts the probe.
-	TryProbeContent(f Fingerprint) bool
-	// RecordAnswer records that an engine has answered a request to its end, which
-	// clears its content and parts.
-	RecordAnswer(f Fingerprint, parts []PartFingerprint)
 }
