Let each gateway probe a refused prompt part

What callers saw: a prompt part that was refused in error stayed refused if requests with it reached gateways other than the first only, as those of a session over one connection.

Only an answer ends a refusal, and only the first gateway, by its name, sent probes.

Evidence: endpoint.TestPartRefusedInErrorIsServedAgain, "a part that is requested only at an entry that isn't the first", fails without the change (virtual time, a request each second for a minute).

Change: a gateway that may send a probe asks the first one for the permission (SuspectService.RequestProbe). The first one counts it, so that the bound on probes over all gateways stays, and one that can't be reached grants none.

--- a/cmd/gateway/cleanup_test.go
+++ b/cmd/gateway/cleanup_test.go
@@ -83,6 +83,12 @@
 	return ctx.Err()
 }
 
+// RequestProbe implements knapweedpulley.SuspectPeer.
+func (silentPeer) RequestProbe(ctx context.Context, _ knapweedpulley.Member, _ knapweedpulley.ProbeRequest) (bool, error) {
+	<-ctx.Done()
+	return false, ctx.Err()
+}
+
 func TestCleanUpDoesNotWaitForSilentGateways(t *testing.T) {
 	inBubble("a synchronization of suspects is broken off", t, func(t *testing.T) {
 		self := knapweedpulley.Member{Entry: "one"}
--- a/endpoint/partstates_test.go
+++ b/endpoint/partstates_test.go
@@ -85,6 +85,19 @@
 }
 
 func TestPartRefusedInErrorIsServedAgain(t *testing.T) {
+	// Only the first entry sent probes, and it got no request with the part.
+	inBubble("a part that is requested only at an entry that isn't the first", t, func(t *testing.T, f *promptFleet) {
+		f.crashUntilRefused(t)
+		parts := []knapweedpulley.PartFingerprint{deadly}
+		for range 60 {
+			if !f.two.IsRefused(deadly) || f.two.TryProbe(parts) {
+				f.two.RecordAnswer(0, parts)
+			}
+			f.sync(t)
+			time.Sleep(time.Second)
+		}
+		assertRefused(t, f, deadly, false)
+	})
 	inBubble("a part that a cut off entry refused", t, func(t *testing.T, f *promptFleet) {
 		f.cut = true
 		for i := range 3 {
--- a/endpoint/suspects.go
+++ b/endpoint/suspects.go
@@ -58,6 +58,10 @@
 	SuspectOptions
 	view    atomic.Pointer[suspectView]
 	history partHistory
+	// probeRequested is set while the member waits for the answer to a request for a probe.
+	// The next request is sent from nextProbeRequest on.
+	probeRequested   atomic.Bool
+	nextProbeRequest atomic.Int64
 	// mu guards the fields below. Requests read view without it.
 	mu         sync.Mutex
 	crashes    map[crashID]*crash
@@ -110,24 +114,10 @@
 	return s.view.Load().refused[p] != nil
 }
 
-// TryProbe implements knapweedpulley.PromptSuspectList. Only the first member of the
-// group probes.
+// TryProbe implements knapweedpulley.PromptSuspectList.
 func (s *Suspects) TryProbe(parts []knapweedpulley.PartFingerprint) bool {
-	if !s.MayProbe(parts) {
-		return false
-	}
-	refused := s.refusedOf(parts)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	if len(refused) == 0 || !mayProbe(refused, now) {
-		return false
-	}
-	for p, r := range refused {
-		s.states.countProbe(p)
-		r.setProbes(s.states.countedProbes(p), now)
-	}
-	return true
+	refused, now := s.refusedOf(parts), s.Clock.Now()
+	return s.mayProbeParts(refused, now) && s.obtainProbe(knapweedpulley.ProbeRequest{Parts: slices.Collect(maps.Keys(refused))})
 }
 
 // ReturnProbe implements knapweedpulley.PromptSuspectList.
@@ -143,12 +133,11 @@
 
 // MayProbe implements knapweedpulley.PromptSuspectList.
 func (s *Suspects) MayProbe(parts []knapweedpulley.PartFingerprint) bool {
-	members := s.Group.Members()
-	if len(members) == 0 || members[0].Entry != s.Group.Self().Entry {
-		return false
-	}
-	refused := s.refusedOf(parts)
-	return len(refused) > 0 && mayProbe(refused, s.Clock.Now())
+	return s.mayProbeParts(s.refusedOf(parts), s.Clock.Now())
+}
+
+func (s *Suspects) mayProbeParts(refused map[knapweedpulley.PartFingerprint]*refusedPart, now knapweedpulley.Instant) bool {
+	return len(refused) > 0 && mayProbe(refused, now) && s.mayRequestProbe(now)
 }
 
 // refusedOf returns the parts that are refused.
--- a/endpoint/suspects_test.go
+++ b/endpoint/suspects_test.go
@@ -44,6 +44,10 @@
 	return nil
 }
 
+func (p peers) RequestProbe(_ context.Context, to knapweedpulley.Member, r knapweedpulley.ProbeRequest) (bool, error) {
+	return p[to.Entry].GrantProbe(r), nil
+}
+
 func newSuspects(group knapweedpulley.Group, peer knapweedpulley.SuspectPeer) *endpoint.Suspects {
 	return endpoint.NewSuspects(endpoint.SuspectOptions{
 		Group: group, Peer: peer, Clock: fake.Clock{},
--- a/gateway/crashtracker_test.go
+++ b/gateway/crashtracker_test.go
@@ -41,6 +41,10 @@
 	return nil
 }
 
+func (l suspectLists) RequestProbe(_ context.Context, to knapweedpulley.Member, r knapweedpulley.ProbeRequest) (bool, error) {
+	return l[to.Entry].GrantProbe(r), nil
+}
+
 func newCrashTracker() (suspectLists, *fakeExchanger, *gateway.CrashTracker) {
 	one, two := knapweedpulley.Member{Entry: "one"}, knapweedpulley.Member{Entry: "two"}
 	lists := make(suspectLists)
--- a/link/suspects.go
+++ b/link/suspects.go
@@ -102,6 +102,25 @@
 	return reports, nil
 }
 
+// RequestProbe implements knapweedpulley.SuspectPeer. It makes one attempt, because a repeated request
+// would be counted twice. A member that doesn't know the method grants no probe.
+func (s *SuspectSender) RequestProbe(
+	ctx context.Context, to knapweedpulley.Member, r knapweedpulley.ProbeRequest,
+) (bool, error) {
+	s.connections.DiscardFailed(to.Address)
+	conn, err := s.connections.To(to.Address)
+	if err != nil {
+		return false, err
+	}
+	m, err := linkpb.NewSuspectServiceClient(conn).RequestProbe(ctx, &linkpb.RequestProbeRequest{
+		Content: uint64(r.Content), Parts: encodeFingerprints(r.Parts),
+	})
+	if grpcstatus.Code(err) == codes.Unimplemented {
+		return false, nil
+	}
+	return m.GetGranted(), errors.Wrapf(err, "request a probe from %s", to.Entry)
+}
+
 // suspectServer exchanges the suspect reports of a store with other entry processes.
 type suspectServer struct {
 	linkpb.UnimplementedSuspectServiceServer
@@ -134,6 +153,17 @@
 	return m, nil
 }
 
+// RequestProbe implements linkpb.SuspectServiceServer.
+func (s *suspectServer) RequestProbe(
+	_ context.Context, m *linkpb.RequestProbeRequest,
+) (*linkpb.RequestProbeResponse, error) {
+	granted := s.store.GrantProbe(knapweedpulley.ProbeRequest{
+		Content: knapweedpulley.Fingerprint(m.GetContent()),
+		Parts:   decodeFingerprints[knapweedpulley.PartFingerprint](m.GetParts()),
+	})
+	return &linkpb.RequestProbeResponse{Granted: granted}, nil
+}
+
 func encodeSuspects(r knapweedpulley.SuspectReport) *linkpb.SuspectsRequest {
 	return &linkpb.SuspectsRequest{
 		Endpoint: string(r.Endpoint), Start: r.Start, Isolated: r.Isolated, AgeNanoseconds: int64(r.Age),
--- a/link/suspects_test.go
+++ b/link/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	interrupt atomic.Pointer[func()]
 	// known is what others are told.
 	known []knapweedpulley.SuspectReport
+	// granted are the requests that may be sent as probes.
+	granted []knapweedpulley.ProbeRequest
 }
 
 // Merge implements knapweedpulley.SuspectMerger.
@@ -34,6 +37,13 @@
 // Snapshot implements knapweedpulley.SuspectStore.
 func (s *recordedSuspects) Snapshot() []knapweedpulley.SuspectReport { return s.known }
 
+// GrantProbe implements knapweedpulley.ProbeGranter.
+func (s *recordedSuspects) GrantProbe(r knapweedpulley.ProbeRequest) bool {
+	return slices.ContainsFunc(s.granted, func(g knapweedpulley.ProbeRequest) bool {
+		return g.Content == r.Content && slices.Equal(g.Parts, r.Parts)
+	})
+}
+
 // assertReportArrives requires that a report arrives and is confirmed although the
 // connection of an earlier one fails.
 func assertReportArrives(t *testing.T, fail func(*faultyProxy, *recordedSuspects)) {
@@ -115,3 +125,32 @@
 		is.New(t).Equal(len(got), 0)
 	})
 }
+
+func TestRequestProbe(t *testing.T) {
+	request := func(t *testing.T, register func(grpc.ServiceRegistrar), r knapweedpulley.ProbeRequest) (bool, error) {
+		t.Helper()
+		server, closeServer, err := link.NewServer("127.0.0.1:0", nil, register)
+		is.New(t).NoErr(err)
+		t.Cleanup(closeServer)
+		connections, closeConnections := link.NewConnections(nil)
+		t.Cleanup(closeConnections)
+		return link.NewSuspectSender(connections).RequestProbe(t.Context(), knapweedpulley.Member{Entry: "one", Address: server.Address()}, r)
+	}
+	content := knapweedpulley.ProbeRequest{Content: 7}
+	parts := knapweedpulley.ProbeRequest{Parts: []knapweedpulley.PartFingerprint{1, 2}}
+	granter := func(r grpc.ServiceRegistrar) {
+		link.RegisterSuspects(r, &recordedSuspects{granted: []knapweedpulley.ProbeRequest{content, parts}})
+	}
+	t.Run("the answer of the gateway that decides arrives", func(t *testing.T) {
+		for r, want := range map[*knapweedpulley.ProbeRequest]bool{&content: true, &parts: true, {Content: 8}: false} {
+			granted, err := request(t, granter, *r)
+			is.New(t).NoErr(err)
+			is.New(t).Equal(granted, want)
+		}
+	})
+	t.Run("a gateway of an earlier version, which doesn't know the call, grants no probe", func(t *testing.T) {
+		granted, err := request(t, func(grpc.ServiceRegistrar) {}, content)
+		is.New(t).NoErr(err)
+		is.New(t).True(!granted)
+	})
+}
