Probe a refused content soon in large fleets

What callers saw: in a fleet of n gateways, a sound content that only one of them was asked for stayed refused for up to 4n s after its refusal, beside 6 s for the first probe.

Cause: the gateways sent probes in turns of 4 s, one gateway a turn, whether or not it got requests with the content.

Change: a gateway asks the first one for the permission, as for prompt parts. The turns are gone. The first gateway grants one probe at a time, so that a content that crashes endpoints still reaches two more over all gateways (TestDeadlyContentIsProbedTwice, and the same with sixteen).

--- a/endpoint/refusedcontent.go
+++ b/endpoint/refusedcontent.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -10,13 +9,6 @@
 )
 
 const (
-	// contentProbeTurn is the time for which one member of the group may probe a refused
-	// content before it is the next one's turn. The requests with a content may reach one
-	// member only, and only a request can be a probe.
-	contentProbeTurn = 4 * time.Second
-	// contentProbeGap is the end of a turn in which no member probes. The next member has
-	// to learn of a probe before its turn; states are exchanged several times a second.
-	contentProbeGap = time.Second
 	// contentProbeResult is the time after which a probe that is followed by no crash with
 	// its content no longer counts. A content that crashes endpoints does so when the
 	// endpoint begins to run it, and a crash is reported within two seconds.
@@ -39,44 +31,15 @@
 	crashes int
 }
 
-// MayProbeContent implements knapweedpulley.PromptSuspectList. The members of the group take
-// turns, so that requests that arrive at several of them at once are one probe.
+// MayProbeContent implements knapweedpulley.ContentSuspectList.
 func (s *Suspects) MayProbeContent(f knapweedpulley.Fingerprint) bool {
-	r := s.view.Load().refusedContents[contentKey(f)]
-	return r != nil && s.mayProbeContent(r, s.Clock.Now())
+	r, now := s.view.Load().refusedContents[contentKey(f)], s.Clock.Now()
+	return r != nil && r.mayProbe(now) && s.mayRequestProbe(now)
 }
 
-func (s *Suspects) mayProbeContent(r *refusedPart, now knapweedpulley.Instant) bool {
-	if !r.mayProbe(now) {
-		return false
-	}
-	members := s.Group.Members()
-	self := s.Group.Self().Entry
-	rank := slices.IndexFunc(members, func(m knapweedpulley.Member) bool { return m.Entry == self })
-	if rank < 0 {
-		return false
-	}
-	elapsed := now.Sub(knapweedpulley.Instant(r.nextProbe.Load()))
-	turn := int(elapsed / contentProbeTurn)
-	return turn%len(members) == rank && elapsed%contentProbeTurn < contentProbeTurn-contentProbeGap
-}
-
-// TryProbeContent implements knapweedpulley.PromptSuspectList.
+// TryProbeContent implements knapweedpulley.ContentSuspectList.
 func (s *Suspects) TryProbeContent(f knapweedpulley.Fingerprint) bool {
-	if !s.MayProbeContent(f) {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	key, now := contentKey(f), s.Clock.Now()
-	r := s.refusedContents[key]
-	if r == nil || !s.mayProbeContent(r, now) {
-		return false
-	}
-	s.states.countProbe(key)
-	r.setProbes(s.states.countedProbes(key), now)
-	s.contentProbes[f] = contentProbe{at: now, crashes: s.view.Load().contents[f]}
-	return true
+	return s.MayProbeContent(f) && s.obtainProbe(knapweedpulley.ProbeRequest{Content: f})
 }
 
 // settleContentProbes stops counting the probes of this member that no crash has followed.
--- a/endpoint/refusedcontent_test.go
+++ b/endpoint/refusedcontent_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -75,6 +76,77 @@
 	})
 }
 
+// largeFleet is a fleet of sixteen entries.
+type largeFleet struct {
+	peers
+	members []knapweedpulley.Member
+}
+
+func newLargeFleet() *largeFleet {
+	f := &largeFleet{peers: peers{}}
+	for i := range 16 {
+		f.members = append(f.members, knapweedpulley.Member{Entry: knapweedpulley.EntryID("entry-" + strconv.Itoa(i))})
+	}
+	for i, m := range f.members {
+		f.peers[m.Entry] = newSuspects(changingGroup{i, &f.members}, f)
+	}
+	return f
+}
+
+// at returns the list of an entry.
+func (f *largeFleet) at(i int) *endpoint.Suspects { return f.peers[f.members[i].Entry] }
+
+// probes returns how many requests with the content were sent as probes within some time, if one
+// arrives at each of the entries every second. handle is called with each.
+func (f *largeFleet) probes(t *testing.T, duration time.Duration, handle func(*endpoint.Suspects), entries ...int) int {
+	t.Helper()
+	n := 0
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(time.Second) {
+		for _, i := range entries {
+			if f.at(i).TryProbeContent(content) {
+				n++
+				handle(f.at(i))
+			}
+			f.at(i).Sync(t.Context())
+		}
+	}
+	return n
+}
+
+// The entries of a fleet probed a content in turn, so that one that only the last entry was asked for
+// stayed refused for more than a minute.
+func TestContentIsProbedSoonInLargeFleet(t *testing.T) {
+	refused := func(t *testing.T) *largeFleet {
+		t.Helper()
+		f := newLargeFleet()
+		reportContentCrash(t, f.at(3), 1)
+		reportContentCrash(t, f.at(3), 2)
+		assertState(t, f.at(15), content, knapweedpulley.SuspectRefuse)
+		return f
+	}
+	answer := func(s *endpoint.Suspects) { s.RecordAnswer(content, nil) }
+	t.Run("a content that is requested only at the last entry", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := refused(t)
+			is.New(t).Equal(f.probes(t, 10*time.Second, answer, 15), 1)
+			assertState(t, f.at(15), content, knapweedpulley.SuspectNone)
+			assertState(t, f.at(0), content, knapweedpulley.SuspectNone)
+		})
+	})
+	t.Run("a content that crashes endpoints, requested at all entries", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := refused(t)
+			crashes := 2
+			crash := func(s *endpoint.Suspects) {
+				crashes++
+				reportContentCrash(t, s, crashes)
+			}
+			all := []int{15, 14, 13, 12, 11, 10, 9, 8, 7, 6, 5, 4, 3, 2, 1, 0}
+			is.New(t).Equal(f.probes(t, 20*time.Minute, crash, all...), 2)
+		})
+	})
+}
+
 func TestDeadlyContentIsProbedTwice(t *testing.T) {
 	inBubble("requests that arrive at all entries at once", t, func(t *testing.T, f *promptFleet) {
 		f.refuseContent(t)
