Check a probe's endpoint again after the wait for its permission

Whether the key is valid, the endpoint's zone evacuated and its share of a cold endpoint still taken was checked before that wait.

Change: the permission is requested first, and the call is admitted anew after it. A probe that has its permission keeps it while it changes endpoints, and returns it if it isn't sent.

Test: gateway.TestProbeLeavesEndpointOfZoneThatIsEvacuatedMeanwhile failed before.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -133,6 +133,7 @@
 	for {
 		visit, err := h.begin(ctx)
 		if err != nil {
+			h.endProbe(err)
 			return h.finalError(err)
 		}
 		retryable, err := h.send(ctx, visit)
@@ -165,7 +166,7 @@
 				return nil, err
 			}
 		}
-		reason, err := "configuration", h.readmit(ctx)
+		reason, err := h.checkCall(ctx)
 		if err == nil && visit.Evacuated() {
 			visit.End(fleet.Unsent)
 			if err := h.leaveEvacuated(ctx, visit.Endpoint, changed); err != nil {
@@ -177,9 +178,6 @@
 			h.beginAnew(visit)
 			continue
 		}
-		if err == nil {
-			reason, err = "crashes", h.checkAttempt()
-		}
 		if err != nil {
 			h.recordDenial(ctx, reason)
 			visit.End(fleet.Unsent)
@@ -192,6 +190,22 @@
 	}
 }
 
+// checkCall checks before an attempt whether the call may still be sent. With an error, it returns
+// what refuses the call. The charge of another customer and the permission for a probe may be waited for.
+func (h *callHandler) checkCall(ctx context.Context) (reason string, err error) {
+	const configuration = "configuration"
+	if err := h.readmit(ctx); err != nil || h.probe {
+		return configuration, err
+	}
+	if err := h.checkAttempt(); err != nil {
+		return "crashes", err
+	}
+	if h.probe {
+		return configuration, h.readmit(ctx)
+	}
+	return "", nil
+}
+
 // beginAnew gives back the part of the share of a cold endpoint that a request took before it waited. The
 // call begins again, at the same endpoint if it may run nowhere else.
 func (h *callHandler) beginAnew(visit *fleet.ActiveRequest) {
--- a/gateway/contentprobe_test.go
+++ b/gateway/contentprobe_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/endpoint"
 	"github.com/knapweedpulley/knapweedpulley/gateway"
 	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
@@ -23,13 +24,16 @@
 	crashes int
 	// answer is what they send then.
 	answer scriptedAnswer
+	// last is the endpoint of the last attempt.
+	last knapweedpulley.EndpointID
 }
 
 // Exchange implements knapweedpulley.Exchanger.
-func (x *contentExchanger) Exchange(ctx context.Context, _ knapweedpulley.Attempt) (knapweedpulley.Reply, error) {
+func (x *contentExchanger) Exchange(ctx context.Context, a knapweedpulley.Attempt) (knapweedpulley.Reply, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.arrived++
+	x.last = a.Endpoint
 	answer := x.answer
 	if x.arrived <= x.crashes {
 		answer = scriptedAnswer{broken: true}
@@ -40,6 +44,19 @@
 // RefusesConnections implements knapweedpulley.Exchanger.
 func (x *contentExchanger) RefusesConnections(context.Context, string) bool { return true }
 
+// slowGranter is a first gateway that takes 0.2 s to grant a probe. meanwhile is called in this time.
+type slowGranter struct {
+	suspectLists
+	meanwhile func()
+}
+
+// RequestProbe implements knapweedpulley.SuspectPeer.
+func (s *slowGranter) RequestProbe(ctx context.Context, to knapweedpulley.Member, r knapweedpulley.ProbeRequest) (bool, error) {
+	s.meanwhile()
+	time.Sleep(200 * time.Millisecond)
+	return s.suspectLists.RequestProbe(ctx, to, r)
+}
+
 func serveContent(t *testing.T, g *gateway.Gateway) error {
 	t.Helper()
 	return g.Serve(t.Context(), &knapweedpulley.Call{
@@ -100,3 +117,30 @@
 		assertCrashSuspect(t, serveContent(t, g))
 	})
 }
+
+// Guards against a probe that reaches an endpoint whose zone was evacuated while the gateway waited for
+// the permission.
+func TestProbeLeavesEndpointOfZoneThatIsEvacuatedMeanwhile(t *testing.T) {
+	inBubble("the probe goes to another endpoint", t, func(t *testing.T) {
+		d, _ := crashingDeployment()
+		d = evacuableDeployment(d)
+		x := &contentExchanger{crashes: 2, answer: scriptedAnswer{events: []string{"1"}}}
+		d.exchanger = x
+		g := d.newGateway(t)
+		lists, crashes, _ := newCrashTracker()
+		var left knapweedpulley.EndpointID
+		granter := &slowGranter{suspectLists: lists, meanwhile: func() { left = evacuateActive(d.fleet) }}
+		peers := gateway.NewPeers(knapweedpulley.Member{Entry: "two"})
+		peers.SetMembers([]knapweedpulley.Member{{Entry: "one"}, {Entry: "two"}})
+		lists["two"] = endpoint.NewSuspects(endpoint.SuspectOptions{Group: peers, Peer: granter, Clock: fake.Clock{}, Log: g.Log})
+		g.CrashTracker = gateway.NewCrashTracker(lists["two"], crashes, g.Fleet, g.Log)
+		for range 5 {
+			_ = serveContent(t, g)
+		}
+		time.Sleep(10 * time.Second)
+		is := is.New(t)
+		is.NoErr(serveContent(t, g))
+		is.Equal(x.arrived, 3)
+		is.True(left != "" && left != x.last)
+	})
+}
