Refuse a waiting call at once when its key is withdrawn

What callers saw: a request that waited for a model while its key or route was withdrawn was refused only when the wait ended, seconds later. Its request for a load of the model counted until then.

A call is admitted anew before its next attempt, and nothing looked at the configuration while it waited.

Evidence: gateway.TestWaitingCallWhoseKeyIsWithdrawnIsRefusedAtOnce. Without the change the call is refused after 1.2 s, when the model is loaded, and not at 0.3 s, when the key is withdrawn (virtual time).

A call that waits and hasn't run is checked against the next one, and its wait ends with the refusal if it is no longer admitted. Waits for the tokens of a rate are not covered.

Passed with -race: gateway, installation.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -332,7 +332,20 @@
 		return visit, nil
 	}
 	ctx, cancel := h.waitContext(ctx)
-	defer cancel()
+	defer cancel(nil)
+	h.watchAdmission(ctx, cancel)
+	visit, err := h.awaitEndpoint(ctx, need, start)
+	var withdrawn *knapweedpulley.Refusal
+	if err != nil && errors.As(context.Cause(ctx), &withdrawn) {
+		return nil, withdrawn
+	}
+	return visit, err
+}
+
+// awaitEndpoint waits until the next attempt can begin at an endpoint. start is the beginning of the wait.
+func (h *callHandler) awaitEndpoint(
+	ctx context.Context, need fleet.Requirements, start knapweedpulley.Instant,
+) (*fleet.ActiveRequest, error) {
 	for {
 		changed := h.Fleet.Changed()
 		if visit, begun := h.Fleet.Begin(need); begun {
--- a/gateway/readmission.go
+++ b/gateway/readmission.go
@@ -27,6 +27,34 @@
 	}
 }
 
+// watchAdmission ends a wait of the call, with the refusal as its cause, when a configuration comes into
+// force that no longer admits it. For a call that may have run, that is decided before its next attempt.
+func (h *callHandler) watchAdmission(ctx context.Context, cancel context.CancelCauseFunc) {
+	if h.possibleRuns > 0 || h.moved {
+		return
+	}
+	follower, call, service, version := h.Follower, h.call, h.admission.Service.ID, h.admission.Version
+	go func() {
+		for {
+			s, known := follower.Current()
+			if !known {
+				return
+			}
+			if s.Version != version {
+				if _, err := s.Readmit(call, service); err != nil {
+					cancel(err)
+					return
+				}
+			}
+			select {
+			case <-s.Replaced():
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
 // admitAnew returns the admission of the call by another configuration. The service of the call and
 // the framing of a begun answer stay, and so does its deadline, by which the caller was told to wait.
 // A call that the gateway has moved keeps its route, as it would have at the endpoint that it was
--- a/gateway/readmission_test.go
+++ b/gateway/readmission_test.go
@@ -416,6 +416,24 @@
 	}
 }
 
+// A call whose key was withdrawn waited on for its model, and its request for a load counted on.
+func TestWaitingCallWhoseKeyIsWithdrawnIsRefusedAtOnce(t *testing.T) {
+	p := placesBeforeRun()[0]
+	inBubble(p.name, t, func(t *testing.T) {
+		var began time.Time
+		p.setUp = func(*testing.T, *accountedDeployment, *gateway.Gateway) { began = time.Now() }
+		o := p.serve(t, withdrawKey, price)
+		is.New(t).Equal(time.Since(began), p.changeAfter)
+		o.assertRefused(t, p, knapweedpulley.CodeInvalidKey)
+		o.assertSeen(t, 0, nil, nil)
+		o.assertCharged(t, 0, 0)
+	})
+	inBubble(p.name+", beside a change that leaves its key", t, func(t *testing.T) {
+		o := p.serve(t, passKeyOn, 1e6)
+		assertAnswered(t, o.answer, o.err, p.answer)
+	})
+}
+
 // accrue gives both customers a rate with which the price of a call accrues in 100 ms, and no tokens.
 func accrue(_ *testing.T, d *accountedDeployment, _ *gateway.Gateway) {
 	d.allowances.Configure([]knapweedpulley.Contract{
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -124,7 +124,7 @@
 		return
 	}
 	ctx, cancel := h.waitContext(ctx)
-	defer cancel()
+	defer cancel(nil)
 	latest := h.callerPatienceEnd().Add(-firstEventReserve)
 	for {
 		changed := h.Fleet.Changed()
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -65,20 +65,20 @@
 
 // waitContext returns the context for a wait for an endpoint. It also ends when a shutdown has made
 // the wait pointless.
-func (h *callHandler) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+func (h *callHandler) waitContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
 	c := h.commitment()
 	stop := context.AfterFunc(h.shutdownBegan, func() {
 		timer := time.NewTimer(h.shutdown.Load().latestSend(c).Sub(h.Clock.Now()))
 		defer timer.Stop()
 		select {
 		case <-timer.C:
-			cancel()
+			cancel(nil)
 		case <-ctx.Done():
 		}
 	})
-	return ctx, func() {
+	return ctx, func(cause error) {
 		stop()
-		cancel()
+		cancel(cause)
 	}
 }
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -197,12 +197,16 @@
 		f.log.WithField("revision", o.Revision).WithError(err).Error("configuration can't be decoded, keeping the last one")
 		return false
 	}
-	if last := f.current.Load(); last != nil && i.Version <= last.Version {
+	last := f.current.Load()
+	if last != nil && i.Version <= last.Version {
 		f.log.WithField("version", i.Version).WithField("inForce", last.Version).Debug("ignoring a configuration that isn't newer")
 		return true
 	}
 	s := NewSnapshot(i)
 	f.current.Store(s)
+	if last != nil {
+		close(last.replaced)
+	}
 	f.republishEndpoints()
 	f.log.WithField("version", i.Version).WithField("revision", o.Revision).
 		WithField("routes", len(i.Routes)).WithField("customers", len(i.Accounts)).Info("configuration in force")
--- a/installation/snapshot.go
+++ b/installation/snapshot.go
@@ -14,6 +14,7 @@
 	knapweedpulley.Installation
 	table    *route.Table
 	accounts map[knapweedpulley.KeyHash]*knapweedpulley.Account
+	replaced chan struct{}
 }
 
 // NewSnapshot builds the indexes of a configuration.
@@ -22,6 +23,7 @@
 		Installation: i,
 		table:        route.NewTable(i.Routes),
 		accounts:     make(map[knapweedpulley.KeyHash]*knapweedpulley.Account),
+		replaced:     make(chan struct{}),
 	}
 	for n := range i.Accounts {
 		for _, k := range i.Accounts[n].Keys {
@@ -31,6 +33,11 @@
 	return s
 }
 
+// Replaced returns a channel that is closed when another version comes into force.
+func (s *Snapshot) Replaced() <-chan struct{} {
+	return s.replaced
+}
+
 // Admission is what the configuration determines for an admitted call.
 type Admission struct {
 	Route    knapweedpulley.Route
