--- a/faults/cases/cases_test.go
+++ b/faults/cases/cases_test.go
@@ -1,57 +1,166 @@
 package cases_test
 
 import (
+	"context"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/knapweedpulley/knapweedpulley"
+)
+
+const (
+	// repository is the root of the repository.
+	repository = "../.."
+	// buildTimeout bounds a build, which the platform allows 15 minutes.
+	buildTimeout = 15 * time.Minute
+	// caseTimeout bounds a case, whose stand-in gives up after 115 s.
+	caseTimeout = 130 * time.Second
+	// stopTimeout is the time between SIGTERM and SIGKILL for a command that didn't end in time.
+	stopTimeout = 10 * time.Second
 )
 
-// repository is the root of the repository.
-const repository = "../.."
+// caseNumber is the number of a case, and the name of its folder.
+type caseNumber string
+
+// cases are the cases of the review.
+var cases = []caseNumber{"1", "2", "3", "4", "5"}
 
-// names are the cases of the review, in their order.
-var names = []string{"early-answer", "moved-key", "late-order", "refused", "cut-off"}
+// withControl are the cases that also run without their disruption.
+var withControl = knapweedpulley.NewSet[caseNumber]("2")
+
+// excluded are the paths of the repository that are built or only kept.
+var excluded = knapweedpulley.NewSet(".git", ".build", ".tools", ".local", "target", "journal", "review/.build")
+
+// buildCommand is the build command of the deploy file.
+var buildCommand = regexp.MustCompile(`(?m)^build = "(.*)"$`)
+
+// checkout is a copy of the working tree, in which the scripts of the cases may write.
+type checkout struct {
+	root string
+}
 
-// build builds the programs and the stand-ins of the cases. It returns the program that runs a
-// case, and the folder that it takes for the root of the repository.
-func build(t *testing.T) (standin, root string) {
+func newCheckout(t *testing.T) *checkout {
 	t.Helper()
-	is := is.New(t)
-	root = t.TempDir()
-	templates, err := filepath.Abs(filepath.Join(repository, "deploy"))
-	is.NoErr(err)
-	is.NoErr(os.Symlink(templates, filepath.Join(root, "deploy")))
-	programs := exec.Command("go", "build", "-o", filepath.Join(root, "target")+"/", "./cmd/gateway", "./cmd/keeper") //nolint:gosec // All arguments are the test's.
-	programs.Dir = repository
-	assertRuns(t, programs)
-	standin = filepath.Join(root, "standin")
-	stand := exec.Command("go", "build", "-o", standin, ".") //nolint:gosec // All arguments are the test's.
-	stand.Dir = filepath.Join(repository, "review", "standin")
-	stand.Env = append(os.Environ(), "GOWORK=off")
-	assertRuns(t, stand)
-	return standin, root
-}
-
-// assertRuns asserts that a command exits with 0.
-func assertRuns(t *testing.T, c *exec.Cmd) {
+	c := &checkout{root: t.TempDir()}
+	is.New(t).NoErr(filepath.WalkDir(repository, c.add))
+	return c
+}
+
+// add copies a file or folder of the repository.
+func (c *checkout) add(path string, entry fs.DirEntry, err error) error {
+	if err != nil {
+		return err
+	}
+	name, err := filepath.Rel(repository, path)
+	if err != nil {
+		return err
+	}
+	target := filepath.Join(c.root, name)
+	switch {
+	case excluded.Has(filepath.ToSlash(name)):
+		if entry.IsDir() {
+			return filepath.SkipDir
+		}
+		return nil
+	case entry.IsDir():
+		return os.MkdirAll(target, 0o750)
+	case !entry.Type().IsRegular():
+		return nil
+	}
+	info, err := entry.Info()
+	if err != nil {
+		return err
+	}
+	content, err := os.ReadFile(path) //nolint:gosec // The path is one of the repository.
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(target, content, info.Mode().Perm())
+}
+
+// build builds the programs as the platform does.
+func (c *checkout) build(t *testing.T) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(c.root, "deploy", "system.toml"))
+	is.New(t).NoErr(err)
+	command := buildCommand.FindSubmatch(text)
+	is.New(t).True(command != nil)
+	assertExit(t, 0, c.run(t, buildTimeout, nil, "sh", "-c", string(command[1])))
+}
+
+// buildStandIn runs the review's build script.
+func (c *checkout) buildStandIn(t *testing.T) {
+	t.Helper()
+	assertExit(t, 0, c.run(t, buildTimeout, nil, filepath.Join(c.root, "review", "build.sh")))
+}
+
+// runCase runs the script of a case.
+func (c *checkout) runCase(t *testing.T, number caseNumber, environment ...string) outcome {
+	t.Helper()
+	return c.run(t, caseTimeout, environment, filepath.Join(c.root, "review", string(number), "run.sh"))
+}
+
+// run runs a command in the root of the checkout.
+func (c *checkout) run(t *testing.T, timeout time.Duration, environment []string, name string, arguments ...string) outcome {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	command := exec.CommandContext(ctx, name, arguments...) //nolint:gosec // The commands are those of the repository.
+	command.Dir = c.root
+	command.Env = append(os.Environ(), environment...)
+	command.Cancel = func() error { return command.Process.Signal(syscall.SIGTERM) }
+	command.WaitDelay = stopTimeout
+	out, err := command.CombinedOutput()
+	return outcome{command: command, output: string(out), err: err}
+}
+
+// outcome is the result of a command.
+type outcome struct {
+	command *exec.Cmd
+	output  string
+	err     error
+}
+
+// assertExit asserts the exit status of a command. The status of one that didn't start or was killed is -1.
+func assertExit(t *testing.T, status int, o outcome) {
 	t.Helper()
-	if out, err := c.CombinedOutput(); err != nil {
-		t.Errorf("%s: %v\n%s", c, err, out)
+	if o.command.ProcessState.ExitCode() != status {
+		t.Errorf("%s: %v, want exit status %d\n%s", o.command, o.err, status, o.output)
 	}
 }
 
-// TestCases fails for a case whose rule is broken (exit status 1) and for one that could not run
-// (2). CI passed for as long as no case could run.
+// TestCases fails for a case whose rule is broken (exit status 1) and for one that could not run (2).
+// It guards against cases that CI runs in another way than their scripts, so that only the scripts fail.
 func TestCases(t *testing.T) {
-	standin, root := build(t)
-	for _, name := range names {
-		t.Run(name, func(t *testing.T) {
+	c := newCheckout(t)
+	t.Run("a case without its stand-in names the script that builds it", func(t *testing.T) {
+		o := c.runCase(t, cases[0])
+		assertExit(t, 2, o)
+		is.New(t).True(strings.Contains(o.output, "review/build.sh"))
+	})
+	c.buildStandIn(t)
+	t.Run("a case without the programs names the one that is missing", func(t *testing.T) {
+		o := c.runCase(t, cases[0])
+		assertExit(t, 2, o)
+		is.New(t).True(strings.Contains(o.output, "target/"))
+	})
+	c.build(t)
+	for _, number := range cases {
+		t.Run("case "+string(number), func(t *testing.T) {
 			t.Parallel()
-			record := filepath.Join(t.TempDir(), "record.txt")
-			assertRuns(t, exec.Command(standin, name, root, record)) //nolint:gosec // The test built it.
+			assertExit(t, 0, c.runCase(t, number))
+			if withControl.Has(number) {
+				assertExit(t, 0, c.runCase(t, number, "TROUBLE=0"))
+			}
 		})
 	}
 }
