Start the gateway on a platform that sets no limit on retries

What an operator would see: on a platform whose contracts don't include the retry rule there is no bounds.budgetSlack. The gateway's template asked for it, so that its settings were not valid JSON ("repeatSlack": ,) or had the value null, and no gateway started.

Without it, three retries for each of the gateways that the settings assume are allowed.

--- a/cmd/gateway/process.go
+++ b/cmd/gateway/process.go
@@ -221,7 +221,7 @@
 		p.allowances.EnableQueues()
 		p.cleanups.Add(machine.Every(queueLogPeriod, p.logQueues))
 	}
-	p.budget = gateway.NewRetryBudget(p.settings.RepeatSlack, p.settings.Gateways)
+	p.budget = gateway.NewRetryBudget(p.settings.repeatLimit(), p.settings.Gateways)
 }
 
 // reportEvacuations reports the requests in evacuated zones from now on if these are followed.
--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +11,10 @@
 	"github.com/knapweedpulley/knapweedpulley/store"
 )
 
+// defaultRepeatsPerGateway is the number of retries allowed for each gateway on a platform that sets no limit.
+// Of it, a gateway that shares the limit equally may always make one.
+const defaultRepeatsPerGateway = 3
+
 // Settings is the configuration of a gateway process.
 type Settings struct {
 	ID   string                `json:"id"`
@@ -28,7 +33,7 @@
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace settings.Duration `json:"grace"`
 	// RepeatSlack is the number of retries that are allowed over all gateways in addition to a
-	// fraction of the requests.
+	// fraction of the requests. Zero stands for defaultRepeatsPerGateway.
 	RepeatSlack float64 `json:"repeatSlack"`
 	// Gateways is the number of gateways to assume until a keeper reports it. Set it rather too
 	// high, because each gateway takes an equal part of the shared rates and budgets.
@@ -67,6 +72,16 @@
 				s.EvacuationTime = settings.Duration(d)
 			},
 		},
+		{
+			Name: "repeat-slack", Description: "retries that are allowed over all gateways beside a fraction of the requests",
+			Set: func(value string, f knapweedpulley.FieldErrors) {
+				n, err := strconv.ParseFloat(value, 64)
+				if err != nil {
+					f.Addf("--repeat-slack", value, "must be a number")
+				}
+				s.RepeatSlack = n
+			},
+		},
 		{
 			Name: "max-fds", Description: "descriptors that the process may open",
 			Set: func(value string, f knapweedpulley.FieldErrors) {
@@ -93,7 +108,9 @@
 	if time.Duration(s.Grace) < minGrace {
 		f.Addf("grace", time.Duration(s.Grace), "must be at least %s", minGrace)
 	}
-	f.Positive("repeatSlack", s.RepeatSlack)
+	if s.RepeatSlack < 0 || math.IsNaN(s.RepeatSlack) || math.IsInf(s.RepeatSlack, 0) {
+		f.Addf("repeatSlack", s.RepeatSlack, "must be a finite number of at least 0")
+	}
 	f.Positive("gateways", float64(s.Gateways))
 	f.Positive("remoteLoads", float64(s.RemoteLoads))
 	if s.EvacuationTime < 0 {
@@ -103,3 +120,12 @@
 	settings.CheckResources(f, s.MemoryMB, s.MaxFDs)
 	settings.CheckLogLevel(f, "logLevel", s.LogLevel)
 }
+
+// repeatLimit returns the number of retries that are allowed over all gateways in addition to a
+// fraction of the requests.
+func (s *Settings) repeatLimit() float64 {
+	if s.RepeatSlack > 0 {
+		return s.RepeatSlack
+	}
+	return float64(defaultRepeatsPerGateway * s.Gateways)
+}
