Refuse a call at once that waits for its rate and is no longer admitted

What callers saw: a call that waits for the tokens of its customer's rate, and whose key is withdrawn or whose route is removed meanwhile, was refused only when the wait ended; in a queue that can be most of the route's latency objective.

Change: RateLimiter.Acquire takes a TokenRequest, whose BeginWait gives the context of a wait. It is called only if the call has to wait, so that a call whose tokens are there starts no goroutine. The call's context ends with the refusal as its cause. Tokens that were taken in advance are returned, as for a caller that leaves. The three calls of Acquire in tests were adapted; their values are the same.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -333,7 +333,7 @@
 	}
 	ctx, cancel := h.waitContext(ctx)
 	defer cancel(nil)
-	h.watchAdmission(ctx, cancel)
+	h.watchAdmission(ctx, cancel, &h.admission)
 	visit, err := h.awaitEndpoint(ctx, need, start)
 	var withdrawn *knapweedpulley.Refusal
 	if err != nil && errors.As(context.Cause(ctx), &withdrawn) {
--- a/gateway/charge.go
+++ b/gateway/charge.go
@@ -36,10 +36,18 @@
 
 // takeTokens takes the tokens for the call from its customer's contract.
 func (h *callHandler) takeTokens(ctx context.Context, a *installation.Admission, tokens knapweedpulley.Tokens) error {
-	visit, err := h.RateLimiter.Acquire(ctx, knapweedpulley.Reservation{
-		Customer: a.Account.Customer, Tokens: tokens, Route: a.Route.ID, Priority: a.Priority,
-		MaxWait: h.tokenWait(a), Fingerprint: h.call.Fingerprint,
-	}, h.deadline, a.Route.LatencyTarget/rateWaitDivisor)
+	visit, err := h.RateLimiter.Acquire(ctx, TokenRequest{
+		Reservation: knapweedpulley.Reservation{
+			Customer: a.Account.Customer, Tokens: tokens, Route: a.Route.ID, Priority: a.Priority,
+			MaxWait: h.tokenWait(a), Fingerprint: h.call.Fingerprint,
+		},
+		Deadline: h.deadline, ChargeWait: a.Route.LatencyTarget / rateWaitDivisor,
+		BeginWait: func(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+			ctx, cancel := context.WithCancelCause(ctx)
+			h.watchAdmission(ctx, cancel, a)
+			return ctx, cancel
+		},
+	})
 	if visit.outcome != "" {
 		h.queueVisit = visit
 		h.Meter.recordQueueVisit(visit)
--- a/gateway/ratecut_test.go
+++ b/gateway/ratecut_test.go
@@ -307,9 +307,12 @@
 }
 
 func (f *cutFleet) charge(g *cutGateway, n knapweedpulley.Tokens) {
-	if _, err := g.limiter.Acquire(f.t.Context(), knapweedpulley.Reservation{
-		Customer: testCustomer, Tokens: n, Route: "play", MaxWait: 600 * time.Millisecond, Fingerprint: f.nextFingerprint(),
-	}, fake.Clock{}.Now().Add(time.Minute), 200*time.Millisecond); err == nil {
+	if _, err := g.limiter.Acquire(f.t.Context(), gateway.TokenRequest{
+		Reservation: knapweedpulley.Reservation{
+			Customer: testCustomer, Tokens: n, Route: "play", MaxWait: 600 * time.Millisecond, Fingerprint: f.nextFingerprint(),
+		},
+		Deadline: fake.Clock{}.Now().Add(time.Minute), ChargeWait: 200 * time.Millisecond,
+	}); err == nil {
 		f.admit(testCustomer, n)
 	}
 }
--- a/gateway/ratelimiter.go
+++ b/gateway/ratelimiter.go
@@ -10,7 +10,6 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/contract"
-	"github.com/knapweedpulley/knapweedpulley/machine"
 )
 
 const (
@@ -61,6 +60,14 @@
 func (r *RateLimiter) Charge(
 	ctx context.Context, customer knapweedpulley.CustomerID, n knapweedpulley.Tokens, maxWait time.Duration,
 ) error {
+	return r.chargeFor(ctx, &TokenRequest{
+		Reservation: knapweedpulley.Reservation{Customer: customer, Tokens: n}, ChargeWait: maxWait,
+	})
+}
+
+// chargeFor takes the tokens of a request, and waits up to its ChargeWait until they are available.
+func (r *RateLimiter) chargeFor(ctx context.Context, t *TokenRequest) error {
+	customer, n, maxWait := t.Customer, t.Tokens, t.ChargeWait
 	c := r.allowances.Take(customer, n, 0)
 	if !c.Taken {
 		r.borrow(ctx, customer, c.Lacking)
@@ -68,7 +75,7 @@
 	}
 	if !c.Taken && c.Borrowing && c.Wait <= 2*maxWait {
 		// The holders may have the tokens soon. Each of them has only a part of what accrues.
-		if err := pauseFor(ctx, min(maxWait, c.Wait)); err != nil {
+		if err := t.pause(ctx, min(maxWait, c.Wait)); err != nil {
 			return err
 		}
 		r.borrow(ctx, customer, c.Lacking)
@@ -78,29 +85,14 @@
 		return knapweedpulley.NewRefusal(knapweedpulley.CodeRateExceeded, knapweedpulley.NotRun,
 			"customer %s is over its rate", customer).WithRetryAfter(c.Wait)
 	}
-	return r.awaitTokens(ctx, customer, n, c.Wait)
-}
-
-// awaitTokens waits until tokens that were taken in advance are available. It returns them if
-// ctx ends first.
-func (r *RateLimiter) awaitTokens(
-	ctx context.Context, customer knapweedpulley.CustomerID, n knapweedpulley.Tokens, d time.Duration,
-) error {
-	err := pauseFor(ctx, d)
+	err := t.pause(ctx, c.Wait)
 	if err != nil {
+		// The tokens were taken in advance.
 		r.allowances.Return(customer, n)
 	}
 	return err
 }
 
-// pauseFor waits for d. It returns a refusal if ctx ends first.
-func pauseFor(ctx context.Context, d time.Duration) error {
-	if d <= 0 || machine.Pause(ctx, d) == nil {
-		return nil
-	}
-	return leftWhileWaiting()
-}
-
 // Return returns the tokens of a request that has not run.
 func (r *RateLimiter) Return(customer knapweedpulley.CustomerID, n knapweedpulley.Tokens) {
 	r.allowances.Return(customer, n)
--- a/gateway/ratequeue.go
+++ b/gateway/ratequeue.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/machine"
 	"github.com/knapweedpulley/knapweedpulley/ratequeue"
 )
 
@@ -40,6 +41,40 @@
 // errNoHolder is the error of a reservation that no holder has answered.
 var errNoHolder = errors.New("no holder of the contract answers")
 
+// TokenRequest is the request of a call for the tokens of its customer's contract.
+type TokenRequest struct {
+	knapweedpulley.Reservation
+
+	// Deadline is that of the call. A caller that is refused by a queue can return before it.
+	Deadline knapweedpulley.Instant
+	// ChargeWait is how long the call can wait if there is no queue.
+	ChargeWait time.Duration
+	// BeginWait, if it is set, returns the context of a wait for the tokens. The wait ends with the
+	// refusal that is the cause of the context, if there is one.
+	BeginWait func(context.Context) (context.Context, context.CancelCauseFunc)
+}
+
+// beginWait returns the context of a wait for the tokens.
+func (t *TokenRequest) beginWait(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	if t.BeginWait == nil {
+		return context.WithCancelCause(ctx)
+	}
+	return t.BeginWait(ctx)
+}
+
+// pause waits for d. It returns a refusal if the wait ends first.
+func (t *TokenRequest) pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	ctx, endWait := t.beginWait(ctx)
+	defer endWait(nil)
+	if machine.Pause(ctx, d) == nil {
+		return nil
+	}
+	return leftWhileWaiting(ctx)
+}
+
 // QueueVisit tells how a call got its tokens in a queue, or why not, for logs and metrics. It is zero if there was no
 // queue to ask.
 type QueueVisit struct {
@@ -49,27 +84,25 @@
 }
 
 // Acquire takes the tokens for a call in the queue of its customer's contract. If there is none, or no holder
-// of the contract answers, it charges them as [RateLimiter.Charge] does, with the given wait. A caller that is refused
-// by a queue can return before the deadline. The error is a *knapweedpulley.Refusal.
-func (r *RateLimiter) Acquire(
-	ctx context.Context, call knapweedpulley.Reservation, deadline knapweedpulley.Instant, chargeWait time.Duration,
-) (QueueVisit, error) {
-	visit, err := r.reserve(ctx, call)
+// of the contract answers, it charges them as [RateLimiter.Charge] does. The error is a *knapweedpulley.Refusal.
+func (r *RateLimiter) Acquire(ctx context.Context, t TokenRequest) (QueueVisit, error) {
+	visit, err := r.reserve(ctx, &t)
 	var refusal *knapweedpulley.Refusal
 	if visit.outcome == queueRefused && errors.As(err, &refusal) {
-		limit := time.Duration(maxReturnFraction * float64(deadline.Sub(r.clock.Now())))
+		limit := time.Duration(maxReturnFraction * float64(t.Deadline.Sub(r.clock.Now())))
 		if limit > 0 && refusal.RetryAfter > limit && refusal.RetryAfter < ratequeue.UnplacedReturnTime {
 			err = refusal.WithRetryAfter(limit)
 		}
 	}
 	if errors.Is(err, errNoHolder) {
-		err = r.Charge(ctx, call.Customer, call.Tokens, chargeWait)
+		err = r.chargeFor(ctx, &t)
 	}
 	return visit, err
 }
 
 // reserve takes the tokens for a call in a queue. It returns errNoHolder if there is no queue to ask.
-func (r *RateLimiter) reserve(ctx context.Context, call knapweedpulley.Reservation) (QueueVisit, error) {
+func (r *RateLimiter) reserve(ctx context.Context, t *TokenRequest) (QueueVisit, error) {
+	call := t.Reservation
 	list, queues := r.allowances.Queues(call.Customer)
 	if !queues {
 		return QueueVisit{}, errNoHolder
@@ -88,6 +121,8 @@
 	if len(holders) > 1 && r.combine(ctx, holders, call, wait) {
 		return QueueVisit{holder: holders[0].Entry, outcome: queueGranted}, nil
 	}
+	ctx, endWait := t.beginWait(ctx)
+	defer endWait(nil)
 	for _, h := range holders {
 		visit, err := r.waitAt(ctx, h, call, until)
 		if err == nil || visit.outcome != queueUnreachable {
@@ -95,7 +130,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return QueueVisit{outcome: queueLeft}, leftWhileWaiting()
+		return QueueVisit{outcome: queueLeft}, leftWhileWaiting(ctx)
 	}
 	return QueueVisit{outcome: queueUnreachable}, errNoHolder
 }
@@ -200,7 +235,7 @@
 			"customer %s is over its rate", call.Customer).WithRetryAfter(result.RetryAfter)
 	case ctx.Err() != nil:
 		visit.outcome = queueLeft
-		err = leftWhileWaiting()
+		err = leftWhileWaiting(ctx)
 	default:
 		visit.outcome = queueUnreachable
 	}
@@ -269,8 +304,13 @@
 	return result, err
 }
 
-// leftWhileWaiting is the refusal of a call whose caller left, or whose deadline passed.
-func leftWhileWaiting() *knapweedpulley.Refusal {
+// leftWhileWaiting returns the refusal of a call whose wait has ended with ctx: the cause if that is a refusal,
+// otherwise the one for a caller that left or a deadline that passed.
+func leftWhileWaiting(ctx context.Context) *knapweedpulley.Refusal {
+	var refusal *knapweedpulley.Refusal
+	if errors.As(context.Cause(ctx), &refusal) {
+		return refusal
+	}
 	return knapweedpulley.NewRefusal(knapweedpulley.CodeCanceled, knapweedpulley.NotRun,
 		"the caller disconnected while waiting for its rate")
 }
--- a/gateway/ratequeue_test.go
+++ b/gateway/ratequeue_test.go
@@ -210,10 +210,13 @@
 func (f *cutFleet) acquire(g *cutGateway, r loadRoute, c *loadCall, fingerprint knapweedpulley.Fingerprint) error {
 	ctx, cancel := context.WithTimeout(f.t.Context(), r.timeout)
 	defer cancel()
-	_, err := g.limiter.Acquire(ctx, knapweedpulley.Reservation{
-		Customer: c.customer, Tokens: c.tokens, Route: r.id, Priority: r.priority, MaxWait: r.objective - firstAnswerTime,
-		Fingerprint: fingerprint,
-	}, fake.Clock{}.Now().Add(r.timeout), r.objective/3)
+	_, err := g.limiter.Acquire(ctx, gateway.TokenRequest{
+		Reservation: knapweedpulley.Reservation{
+			Customer: c.customer, Tokens: c.tokens, Route: r.id, Priority: r.priority, MaxWait: r.objective - firstAnswerTime,
+			Fingerprint: fingerprint,
+		},
+		Deadline: fake.Clock{}.Now().Add(r.timeout), ChargeWait: r.objective / 3,
+	})
 	return err
 }
 
@@ -564,9 +567,10 @@
 	inBubble("a call goes to the other holder soon after the first one has frozen", t, func(t *testing.T) {
 		is := is.New(t)
 		began := time.Now()
-		_, err := newQueueLimiter(&silentHolder{}).Acquire(t.Context(), knapweedpulley.Reservation{
-			Customer: testCustomer, Tokens: 1, Route: "r", MaxWait: 8 * time.Second,
-		}, fake.Clock{}.Now().Add(time.Minute), 0)
+		_, err := newQueueLimiter(&silentHolder{}).Acquire(t.Context(), gateway.TokenRequest{
+			Reservation: knapweedpulley.Reservation{Customer: testCustomer, Tokens: 1, Route: "r", MaxWait: 8 * time.Second},
+			Deadline:    fake.Clock{}.Now().Add(time.Minute),
+		})
 		is.NoErr(err)
 		is.True(time.Since(began) <= 2*time.Second)
 	})
--- a/gateway/readmission.go
+++ b/gateway/readmission.go
@@ -28,12 +28,13 @@
 }
 
 // watchAdmission ends a wait of the call, with the refusal as its cause, when a configuration comes into
-// force that no longer admits it. For a call that may have run, that is decided before its next attempt.
-func (h *callHandler) watchAdmission(ctx context.Context, cancel context.CancelCauseFunc) {
+// force that no longer admits it as the given admission does. For a call that may have run, that is decided
+// before its next attempt.
+func (h *callHandler) watchAdmission(ctx context.Context, cancel context.CancelCauseFunc, a *installation.Admission) {
 	if h.possibleRuns > 0 || h.moved {
 		return
 	}
-	follower, call, service, version := h.Follower, h.call, h.admission.Service.ID, h.admission.Version
+	follower, call, service, version := h.Follower, h.call, a.Service.ID, a.Version
 	go func() {
 		for {
 			s, known := follower.Current()
--- a/gateway/readmission_test.go
+++ b/gateway/readmission_test.go
@@ -444,6 +444,55 @@
 	}
 }
 
+// queueFor is accrue with queues for the tokens.
+func queueFor(t *testing.T, d *accountedDeployment, g *gateway.Gateway) {
+	t.Helper()
+	d.allowances.EnableQueues()
+	accrue(t, d, g)
+}
+
+// A call that waited for the tokens of its rate waited on after its key or its route was gone.
+func TestCallThatWaitsForItsRateIsRefusedAtOnceWhenItIsNoLongerAdmitted(t *testing.T) {
+	const changeAfter = 50 * time.Millisecond
+	changes := []struct {
+		name   string
+		change func(*knapweedpulley.Installation)
+		code   knapweedpulley.Code
+	}{
+		{"a key that is gone", withdrawKey, knapweedpulley.CodeInvalidKey},
+		{"a route that is gone", removeRoute, knapweedpulley.CodeRouteNotFound},
+		{"a route that leads to another service", moveRoute, knapweedpulley.CodeNoEndpoint},
+	}
+	waits := []struct {
+		name  string
+		setUp func(*testing.T, *accountedDeployment, *gateway.Gateway)
+	}{
+		{"in advance of the tokens", accrue},
+		{"in the queue for the tokens", queueFor},
+	}
+	for _, w := range waits {
+		for _, c := range changes {
+			inBubble(c.name+", "+w.name, t, func(t *testing.T) {
+				var began time.Time
+				p := waitingPlace{changeAfter: changeAfter, prepare: func() deployment {
+					d, _ := streamDeployment(scriptedAnswer{events: []string{"1"}})
+					return d
+				}}
+				p.setUp = func(t *testing.T, d *accountedDeployment, g *gateway.Gateway) {
+					t.Helper()
+					w.setUp(t, d, g)
+					began = time.Now()
+				}
+				o := p.serve(t, c.change, 1000)
+				is.New(t).Equal(time.Since(began), changeAfter)
+				o.assertRefused(t, p, c.code)
+				o.assertSeen(t, 0, nil, nil)
+				is.New(t).Equal(o.charged[otherCustomer], o.charged[testCustomer])
+			})
+		}
+	}
+}
+
 func TestCallThatWaitedForItsRateIsAdmittedAnew(t *testing.T) {
 	prepare := func() deployment {
 		d, _ := streamDeployment(scriptedAnswer{events: []string{"1"}})
