Refuse a call at a shutdown that waits for its rate

What callers saw: a call that waits for the tokens of its customer's rate when its gateway stops waited on until the cut, or until its tokens came and it was refused then. A call that waits for an endpoint or a model is refused 2.5 s after SIGTERM if it may outlast the gateway (docs/OPERATIONS.md, "waiting ones too"), and can go to another gateway in time.

Cause: only the waits for an endpoint had the context that ends at a shutdown.

Change: the wait for tokens has that context too, and the context ends with the refusal as its cause.

Evidence: TestBeginShutdown/a_call_that_waits_{in_the_queue_for,in_advance_of}_its_tokens: refused after 18.0 s before, after 3.5 s now, with the code draining, notRun and Retry-After. The other tests of the package pass.

--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -335,9 +335,9 @@
 	defer cancel(nil)
 	h.watchAdmission(ctx, cancel, &h.admission)
 	visit, err := h.awaitEndpoint(ctx, need, start)
-	var withdrawn *knapweedpulley.Refusal
-	if err != nil && errors.As(context.Cause(ctx), &withdrawn) {
-		return nil, withdrawn
+	var refusal *knapweedpulley.Refusal
+	if err != nil && errors.As(context.Cause(ctx), &refusal) {
+		return nil, refusal
 	}
 	return visit, err
 }
--- a/gateway/charge.go
+++ b/gateway/charge.go
@@ -43,7 +43,7 @@
 		},
 		Deadline: h.deadline, ChargeWait: a.Route.LatencyTarget / rateWaitDivisor,
 		BeginWait: func(ctx context.Context) (context.Context, context.CancelCauseFunc) {
-			ctx, cancel := context.WithCancelCause(ctx)
+			ctx, cancel := h.waitContext(ctx)
 			h.watchAdmission(ctx, cancel, a)
 			return ctx, cancel
 		},
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -59,12 +59,16 @@
 	if h.Clock.Now() < h.shutdown.Load().latestSend(h.commitment()) {
 		return nil
 	}
+	return newDrainingRefusal()
+}
+
+func newDrainingRefusal() *knapweedpulley.Refusal {
 	return knapweedpulley.NewRefusal(knapweedpulley.CodeDraining, knapweedpulley.NotRun,
 		"the gateway is stopping and may end before the request does").WithRetryAfter(shutdownRetryAfter)
 }
 
-// waitContext returns the context for a wait for an endpoint. It also ends when a shutdown has made
-// the wait pointless.
+// waitContext returns the context for a wait of the call. It also ends, with a refusal as its cause, when a
+// shutdown has made the wait pointless.
 func (h *callHandler) waitContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	c := h.commitment()
@@ -73,7 +77,7 @@
 		defer timer.Stop()
 		select {
 		case <-timer.C:
-			cancel(nil)
+			cancel(newDrainingRefusal())
 		case <-ctx.Done():
 		}
 	})
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -95,6 +95,29 @@
 			})
 		}
 	})
+	// Calls that waited for the tokens of their rate waited on until these had come or their deadline had passed.
+	for name, setUp := range map[string]func(*accountedDeployment){
+		"in the queue for its tokens": func(d *accountedDeployment) { d.allowances.EnableQueues() },
+		"in advance of its tokens":    func(*accountedDeployment) {},
+	} {
+		inBubble("a call that waits "+name+" when the shutdown begins is refused as soon as it can't be sent any more", t, func(t *testing.T) {
+			is := is.New(t)
+			whole, _ := wholeDeployment()
+			d := whole.withAccounts(1)
+			d.route.LatencyTarget, d.route.Timeout = time.Minute, 2*time.Minute
+			setUp(d)
+			d.allowances.Configure([]knapweedpulley.Contract{{Customer: testCustomer, Rate: knapweedpulley.TokensPerSecond(price) / 18, Burst: price}})
+			d.allowances.Take(testCustomer, price, 0)
+			g := d.newGateway(t)
+			began := time.Now()
+			time.AfterFunc(time.Second, func() { beginShutdown(g) })
+			_, err := serveCall(t, g, withKey)
+			is.Equal(time.Since(began), time.Second+untilRouted)
+			is.Equal(knapweedpulley.RefusalOf(err, "").Code, knapweedpulley.CodeDraining)
+			is.Equal(knapweedpulley.VerdictOf(err), knapweedpulley.NotRun)
+			is.True(knapweedpulley.RefusalOf(err, "").RetryAfter > 0)
+		})
+	}
 	t.Run("without a shutdown a call waits longer", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			g := newGatewayDuringLoad(t, knapweedpulley.AtMostOnce)
