Refuse a waiting request whose model or route is gone

What callers saw: on the product's own path, a request that waited for its model to be loaded, or for an endpoint of its service, ran although a configuration had come into force meanwhile in which its customer no longer had the model, the adapter or the route, or the route was no longer open. Only a withdrawn key ended it.

Change: the directory of customers implements RequestAdmission. The dispatcher asks it before each attempt and before a repeat, and a wait ends when a configuration comes into force that doesn't admit the request. A request that an endpoint runs goes on, as on the gateway.

Packages dispatch, entry and customer pass with -race. The fakes of the dispatcher's tests admit all requests; no assertion changed.

Claims by idempotency key were looked at too: keys don't pass to another customer there, so that nothing was changed.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/machine"
@@ -23,15 +24,17 @@
 
 // Dependencies holds the parts of the entry that a dispatcher uses.
 type Dependencies struct {
-	Lease    knapweedpulley.Lease
-	Suspects knapweedpulley.ContentSuspectList
-	Limiter  knapweedpulley.RateLimiter
-	Claimer  knapweedpulley.Claimer
-	Chooser  knapweedpulley.EndpointSelector
-	Waker    knapweedpulley.ModelLoader
-	Links    knapweedpulley.EndpointLinks
-	Zone     knapweedpulley.ZoneID
-	Log      log.Interface
+	Lease knapweedpulley.Lease
+	// Admission decides on requests that have waited.
+	Admission knapweedpulley.RequestAdmission
+	Suspects  knapweedpulley.ContentSuspectList
+	Limiter   knapweedpulley.RateLimiter
+	Claimer   knapweedpulley.Claimer
+	Chooser   knapweedpulley.EndpointSelector
+	Waker     knapweedpulley.ModelLoader
+	Links     knapweedpulley.EndpointLinks
+	Zone      knapweedpulley.ZoneID
+	Log       log.Interface
 }
 
 // Dispatcher serves requests that were authenticated by an entry.
@@ -135,6 +138,9 @@
 		if !d.mayRetry(ctx, r, w, refusal) {
 			return usage, withVerdict(refusal, verdict)
 		}
+		if err := d.readmit(r); err != nil {
+			return usage, withVerdict(knapweedpulley.RefusalOf(err, knapweedpulley.CodeInternal), verdict)
+		}
 		if machine.Pause(ctx, retryDelay*time.Duration(r.Attempt)) != nil {
 			return usage, withVerdict(refusal, verdict)
 		}
@@ -157,6 +163,9 @@
 		return knapweedpulley.Usage{}, err
 	}
 	defer d.Chooser.Done(r, endpoint)
+	if err := d.readmit(r); err != nil {
+		return knapweedpulley.Usage{}, err
+	}
 	link, ok := d.Links.Link(endpoint)
 	if !ok {
 		avoid.Add(endpoint)
@@ -173,12 +182,29 @@
 	return usage, err
 }
 
-// selectEndpoint returns an endpoint that can run the request. If there is none,
-// it has the model of a chat request loaded, and waits for an endpoint of a
-// service. After the first wait it no longer avoids endpoints that failed: the
-// only endpoint of a service may have recovered.
+// selectEndpoint returns an endpoint that can run the request. If there is none, it waits for one, and
+// refuses the request as soon as it is no longer admitted.
 func (d *Dispatcher) selectEndpoint(
 	ctx context.Context, r *knapweedpulley.Request, avoid knapweedpulley.Set[knapweedpulley.EndpointID],
+) (knapweedpulley.EndpointID, error) {
+	if endpoint, ok := d.Chooser.Choose(r, avoid); ok {
+		return endpoint, nil
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	d.watchAdmission(ctx, cancel, r)
+	endpoint, err := d.awaitEndpoint(ctx, r, avoid)
+	var refusal *knapweedpulley.Refusal
+	if err != nil && errors.As(context.Cause(ctx), &refusal) {
+		return "", refusal
+	}
+	return endpoint, err
+}
+
+// awaitEndpoint has the model of a chat request loaded, and waits for an endpoint of a service. After the
+// first wait it no longer avoids endpoints that failed: the only endpoint of a service may have recovered.
+func (d *Dispatcher) awaitEndpoint(
+	ctx context.Context, r *knapweedpulley.Request, avoid knapweedpulley.Set[knapweedpulley.EndpointID],
 ) (knapweedpulley.EndpointID, error) {
 	for {
 		if endpoint, ok := d.Chooser.Choose(r, avoid); ok {
@@ -195,6 +221,31 @@
 	}
 }
 
+// readmit returns a refusal if the configuration in force doesn't admit the request.
+func (d *Dispatcher) readmit(r *knapweedpulley.Request) error {
+	_, err := d.Admission.Readmit(r)
+	return err
+}
+
+// watchAdmission cancels a wait of the request, with the refusal as the cause, when a configuration comes
+// into force that doesn't admit it.
+func (d *Dispatcher) watchAdmission(ctx context.Context, cancel context.CancelCauseFunc, r *knapweedpulley.Request) {
+	go func() {
+		for {
+			replaced, err := d.Admission.Readmit(r)
+			if err != nil {
+				cancel(err)
+				return
+			}
+			select {
+			case <-replaced:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
 // wakeModel has the request's model loaded, and adds the time that this took to
 // the cold start of the request.
 func (d *Dispatcher) wakeModel(ctx context.Context, r *knapweedpulley.Request) (knapweedpulley.EndpointID, error) {
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -42,6 +42,9 @@
 
 func (f *fakes) Valid() bool { return !f.leaseLapsed }
 
+// Readmit admits all requests.
+func (*fakes) Readmit(*knapweedpulley.Request) (<-chan struct{}, error) { return nil, nil }
+
 func (f *fakes) Charge(c knapweedpulley.CustomerID, n knapweedpulley.Tokens) (knapweedpulley.Receipt, error) {
 	return knapweedpulley.Receipt{Customer: c, Charged: n}, nil
 }
@@ -145,7 +148,7 @@
 func serveWith(t *testing.T, f *fakes, list knapweedpulley.ContentSuspectList, r knapweedpulley.Request) (string, error) {
 	t.Helper()
 	d := dispatch.NewDispatcher(dispatch.Dependencies{
-		Lease: f, Suspects: list, Limiter: f, Claimer: f, Chooser: f, Waker: f, Links: f,
+		Lease: f, Admission: f, Suspects: list, Limiter: f, Claimer: f, Chooser: f, Waker: f, Links: f,
 		Log: &log.Logger{Handler: discard.New()},
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -32,15 +32,16 @@
 	e.claims, cleanup = claim.NewLedger(e.objects, claim.DefaultSettings())
 	e.addCleanup(cleanup)
 	return dispatch.NewDispatcher(dispatch.Dependencies{
-		Lease:    e.members,
-		Suspects: e.suspects,
-		Limiter:  e.limiter.Load(),
-		Claimer:  claim.NewClaimer(e.claims, e.members, link.NewClaimSender(e.connections)),
-		Chooser:  e.fleet,
-		Waker:    e.newModelLoader(),
-		Links:    links,
-		Zone:     e.settings.Zone,
-		Log:      e.log,
+		Lease:     e.members,
+		Admission: e.directory,
+		Suspects:  e.suspects,
+		Limiter:   e.limiter.Load(),
+		Claimer:   claim.NewClaimer(e.claims, e.members, link.NewClaimSender(e.connections)),
+		Chooser:   e.fleet,
+		Waker:     e.newModelLoader(),
+		Links:     links,
+		Zone:      e.settings.Zone,
+		Log:       e.log,
 	})
 }
 
