Refuse a request at once that waits for its rate and is no longer admitted

What callers saw: on the product's own path a request waits up to 2 s for its customer's rate. One whose model or route was gone meanwhile was refused when that wait ended.

--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -69,11 +69,37 @@
 	return l.fakes.Run(ctx, r, to)
 }
 
+// scarceRate refuses charges until loadTime after the first one.
+type scarceRate struct {
+	*fakes
+
+	until time.Time
+}
+
+// Charge implements knapweedpulley.RateLimiter.
+func (s *scarceRate) Charge(c knapweedpulley.CustomerID, n knapweedpulley.Tokens) (knapweedpulley.Receipt, error) {
+	if s.until.IsZero() {
+		s.until = time.Now().Add(loadTime)
+	}
+	if left := time.Until(s.until); left > 0 {
+		return knapweedpulley.Receipt{}, knapweedpulley.NewRefusal(knapweedpulley.CodeRateExceeded, knapweedpulley.NotRun, "test").WithRetryAfter(left)
+	}
+	return s.fakes.Charge(c, n)
+}
+
 // serveBesideChange serves a request beside a change of the configuration. It returns the time that it took.
 func serveBesideChange(t *testing.T, f *fakes, r knapweedpulley.Request, refusal error) (time.Duration, error) {
+	t.Helper()
+	return serveAtRate(t, f, f, r, refusal)
+}
+
+// serveAtRate is serveBesideChange with a given rate limiter.
+func serveAtRate(
+	t *testing.T, f *fakes, limiter knapweedpulley.RateLimiter, r knapweedpulley.Request, refusal error,
+) (time.Duration, error) {
 	t.Helper()
 	d := dispatch.NewDispatcher(dispatch.Dependencies{
-		Lease: f, Admission: newChangingAdmission(refusal), Suspects: f.suspects, Limiter: f, Claimer: f,
+		Lease: f, Admission: newChangingAdmission(refusal), Suspects: f.suspects, Limiter: limiter, Claimer: f,
 		Chooser: f, Waker: slowLoader{f}, Links: slowLink{f}, Log: &log.Logger{Handler: discard.New()},
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -111,6 +137,15 @@
 			})
 		})
 	}
+	t.Run("while it waits for its customer's rate", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakes{loaded: true, attempts: []attempt{{body: "hello"}}}
+			took, err := serveAtRate(t, f, &scarceRate{fakes: f}, chat(true), modelGone)
+			assertRefused(t, err, knapweedpulley.CodeModelNotFound, knapweedpulley.NotRun)
+			is.New(t).Equal(took, changeAfter)
+			is.New(t).Equal(len(f.ran), 0)
+		})
+	})
 	t.Run("before it is repeated", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			lost := refusal(knapweedpulley.CodeLinkLost, knapweedpulley.MayHaveRun)
--- a/dispatch/charge.go
+++ b/dispatch/charge.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/machine"
 )
@@ -35,7 +37,12 @@
 		if final || time.Now().Add(wait).After(giveUpAt) {
 			return receipt, refusal
 		}
-		if err := machine.Pause(ctx, wait); err != nil {
+		err = d.whileAdmitted(ctx, r, func(ctx context.Context) error { return machine.Pause(ctx, wait) })
+		var withdrawn *knapweedpulley.Refusal
+		switch {
+		case errors.As(err, &withdrawn):
+			return receipt, withdrawn
+		case err != nil:
 			return receipt, refusal
 		}
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/machine"
@@ -190,14 +189,12 @@
 	if endpoint, ok := d.Chooser.Choose(r, avoid); ok {
 		return endpoint, nil
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	d.watchAdmission(ctx, cancel, r)
-	endpoint, err := d.awaitEndpoint(ctx, r, avoid)
-	var refusal *knapweedpulley.Refusal
-	if err != nil && errors.As(context.Cause(ctx), &refusal) {
-		return "", refusal
-	}
+	var endpoint knapweedpulley.EndpointID
+	err := d.whileAdmitted(ctx, r, func(ctx context.Context) error {
+		var err error
+		endpoint, err = d.awaitEndpoint(ctx, r, avoid)
+		return err
+	})
 	return endpoint, err
 }
 
@@ -221,31 +218,6 @@
 	}
 }
 
-// readmit returns a refusal if the configuration in force doesn't admit the request.
-func (d *Dispatcher) readmit(r *knapweedpulley.Request) error {
-	_, err := d.Admission.Readmit(r)
-	return err
-}
-
-// watchAdmission cancels a wait of the request, with the refusal as the cause, when a configuration comes
-// into force that doesn't admit it.
-func (d *Dispatcher) watchAdmission(ctx context.Context, cancel context.CancelCauseFunc, r *knapweedpulley.Request) {
-	go func() {
-		for {
-			replaced, err := d.Admission.Readmit(r)
-			if err != nil {
-				cancel(err)
-				return
-			}
-			select {
-			case <-replaced:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-}
-
 // wakeModel has the request's model loaded, and adds the time that this took to
 // the cold start of the request.
 func (d *Dispatcher) wakeModel(ctx context.Context, r *knapweedpulley.Request) (knapweedpulley.EndpointID, error) {
