--- a/cmd/gateway/settings.go
+++ b/cmd/gateway/settings.go
@@ -12,7 +12,7 @@
 )
 
 // defaultRepeatsPerGateway is the number of retries allowed for each gateway on a platform that sets no limit.
-// Of it, a gateway that shares the limit equally may always make one.
+// The retry budget uses only a fraction of the limit, of which a gateway needs one retry at least.
 const defaultRepeatsPerGateway = 3
 
 // Settings is the configuration of a gateway process.
