Reserve the addresses of tests on which nothing may listen

Cause: the test connected to the port of a listener that it had closed.

Evidence: trial with another listener on the port that closes each connection: the error is Unavailable, after 0.15 s; the failure took 0.18 s. Four other tests connected to such ports too.

Change: fake.ReserveAddress returns the address of a socket that is bound but doesn't listen: connections are refused, and nobody else gets the port. What the five tests assert is the same.

--- a/cmd/knapweedpulley/command/command_test.go
+++ b/cmd/knapweedpulley/command/command_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -23,6 +22,7 @@
 	"github.com/knapweedpulley/knapweedpulley/burn"
 	"github.com/knapweedpulley/knapweedpulley/cmd/knapweedpulley/command"
 	"github.com/knapweedpulley/knapweedpulley/customer"
+	machinefake "github.com/knapweedpulley/knapweedpulley/machine/fake"
 	"github.com/knapweedpulley/knapweedpulley/store/fake"
 )
 
@@ -56,10 +56,9 @@
 	}
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, release, err := machinefake.ReserveAddress()
 	is.NoErr(err)
-	closed := listener.Addr().String()
-	is.NoErr(listener.Close())
+	t.Cleanup(release)
 	data, err := json.Marshal(command.Settings{
 		Admin: []string{closed, server.Listener.Addr().String()}, OperatorKey: "kp-operator",
 	})
--- a/engine/exchange/exchange_test.go
+++ b/engine/exchange/exchange_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/engine/exchange"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
 
 // resettingBackend is a back end that answers a limited number of requests and resets the
@@ -116,12 +117,12 @@
 func TestVerdicts(t *testing.T) {
 	t.Run("refused connection gives not run", func(t *testing.T) {
 		is := is.New(t)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, release, err := fake.ReserveAddress()
 		is.NoErr(err)
-		is.NoErr(listener.Close())
+		defer release()
 		client, cleanup := exchange.NewClient("test")
 		defer cleanup()
-		call := exchange.Call{Method: http.MethodPost, URL: "http://" + listener.Addr().String()}
+		call := exchange.Call{Method: http.MethodPost, URL: "http://" + address}
 		_, err = client.Send(t.Context(), call) //nolint:bodyclose // It fails.
 		is.Equal(knapweedpulley.VerdictOf(err), knapweedpulley.NotRun)
 	})
--- a/engine/exchange/pool_test.go
+++ b/engine/exchange/pool_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/engine/exchange"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
 
 // handler answers a request on a connection. The connection is closed if it returns false.
@@ -168,10 +169,10 @@
 	})
 	t.Run("request with a refused connection has not run", func(t *testing.T) {
 		b := newTestBackend(t, echo)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, release, err := fake.ReserveAddress()
 		is.New(t).NoErr(err)
-		b.address = listener.Addr().String()
-		is.New(t).NoErr(listener.Close())
+		defer release()
+		b.address = address
 		p := newPool(t)
 		assertVerdict(t, p, message(b, "a"), knapweedpulley.NotRun)
 		is.New(t).True(p.RefusesConnections(t.Context(), b.address))
--- a/link/suspects_test.go
+++ b/link/suspects_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/knapweedpulley/knapweedpulley"
 	"github.com/knapweedpulley/knapweedpulley/link"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 )
 
 // recordedSuspects records the reports that arrive. It calls interrupt, if that is set,
@@ -91,10 +92,10 @@
 		is := is.New(t)
 		connections, closeConnections := link.NewConnections(nil)
 		defer closeConnections()
-		server, closeServer, err := link.NewServer("127.0.0.1:0", nil, func(grpc.ServiceRegistrar) {})
+		address, release, err := fake.ReserveAddress()
 		is.NoErr(err)
-		closeServer()
-		to := knapweedpulley.Member{Entry: "two", Address: server.Address()}
+		defer release()
+		to := knapweedpulley.Member{Entry: "two", Address: address}
 		err = link.NewSuspectSender(connections).SendSuspects(t.Context(), to, knapweedpulley.SuspectReport{})
 		is.True(errors.Is(err, knapweedpulley.ErrNoListener))
 	})
--- a/machine/fake/clock.go
+++ b/machine/fake/clock.go
@@ -1,4 +1,4 @@
-// Package fake provides a clock for tests that run in virtual time.
+// Package fake provides a clock for tests that run in virtual time, and addresses on which nothing listens.
 //
 // # Usage
 //
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	"github.com/knapweedpulley/knapweedpulley/machine/fake"
 	"github.com/knapweedpulley/knapweedpulley/store"
 )
 
@@ -145,11 +146,11 @@
 		is.Equal(requests.Load(), int64(2))
 	})
 	t.Run("the outcome of a write that reached no server is known", func(t *testing.T) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, release, err := fake.ReserveAddress()
 		is := is.New(t)
 		is.NoErr(err)
-		is.NoErr(listener.Close())
-		_, err = newClient(t, listener.Addr().String()).Put(t.Context(), kind, name, []byte("1"), 0)
+		defer release()
+		_, err = newClient(t, address).Put(t.Context(), kind, name, []byte("1"), 0)
 		is.True(err != nil)
 		is.True(!errors.Is(err, knapweedpulley.ErrOutcomeUnknown))
 	})
