--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -69,4 +69,12 @@
 			is.New(t).True(n > 0 && float64(n) <= slack)
 		}
 	})
+	t.Run("a gateway of a large fleet can retry once it has served enough requests", func(t *testing.T) {
+		const slack, gateways, requests = 246, 103, 1000
+		b := gateway.NewRetryBudget(slack, gateways)
+		for range requests {
+			b.Deposit("llm")
+		}
+		is.New(t).True(b.TryWithdraw("llm"))
+	})
 }
