--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/knapweedpulley/knapweedpulley"
 )
 
@@ -21,8 +19,7 @@
 	defer cancel(nil)
 	d.watchAdmission(ctx, cancel, r)
 	err := wait(ctx)
-	var refusal *knapweedpulley.Refusal
-	if err != nil && errors.As(context.Cause(ctx), &refusal) {
+	if refusal := knapweedpulley.RefusalCause(ctx); err != nil && refusal != nil {
 		return refusal
 	}
 	return err
--- a/dispatch/charge.go
+++ b/dispatch/charge.go
@@ -38,10 +38,10 @@
 			return receipt, refusal
 		}
 		err = d.whileAdmitted(ctx, r, func(ctx context.Context) error { return machine.Pause(ctx, wait) })
-		var withdrawn *knapweedpulley.Refusal
+		var notAdmitted *knapweedpulley.Refusal
 		switch {
-		case errors.As(err, &withdrawn):
-			return receipt, withdrawn
+		case errors.As(err, &notAdmitted):
+			return receipt, notAdmitted
 		case err != nil:
 			return receipt, refusal
 		}
--- a/gateway/callhandler.go
+++ b/gateway/callhandler.go
@@ -335,8 +335,7 @@
 	defer cancel(nil)
 	h.watchAdmission(ctx, cancel, &h.admission)
 	visit, err := h.awaitEndpoint(ctx, need, start)
-	var refusal *knapweedpulley.Refusal
-	if err != nil && errors.As(context.Cause(ctx), &refusal) {
+	if refusal := knapweedpulley.RefusalCause(ctx); err != nil && refusal != nil {
 		return nil, refusal
 	}
 	return visit, err
--- a/knapweedpulley_test.go
+++ b/knapweedpulley_test.go
@@ -1,6 +1,7 @@
 package knapweedpulley_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -37,6 +38,21 @@
 	})
 }
 
+func TestRefusalCause(t *testing.T) {
+	refusal := knapweedpulley.NewRefusal(knapweedpulley.CodeDraining, knapweedpulley.NotRun, "stopping")
+	assertCause := func(t *testing.T, cause error, want *knapweedpulley.Refusal) {
+		t.Helper()
+		ctx, cancel := context.WithCancelCause(t.Context())
+		is.New(t).Equal(knapweedpulley.RefusalCause(ctx), nil)
+		cancel(cause)
+		child, end := context.WithTimeout(ctx, time.Second)
+		defer end()
+		is.New(t).Equal(knapweedpulley.RefusalCause(child), want)
+	}
+	t.Run("a refusal that canceled a context", func(t *testing.T) { assertCause(t, refusal, refusal) })
+	t.Run("a context that was canceled without a refusal", func(t *testing.T) { assertCause(t, nil, nil) })
+}
+
 func TestBytesString(t *testing.T) {
 	cases := []struct {
 		amount knapweedpulley.Bytes
--- a/verdict.go
+++ b/verdict.go
@@ -1,6 +1,7 @@
 package knapweedpulley
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -111,3 +112,12 @@
 	}
 	return &Refusal{Code: code, Verdict: MayHaveRun, Message: err.Error()}
 }
+
+// RefusalCause returns the refusal that is the cause of the end of ctx, or nil if there is none.
+func RefusalCause(ctx context.Context) *Refusal {
+	var r *Refusal
+	if errors.As(context.Cause(ctx), &r) {
+		return r
+	}
+	return nil
+}
