Don't take a lost connection for an outage of the store

Cause: a gateway concluded an outage of the store from a gap of over 3 s in the evidence of the endpoints. A connection that goes silent, a watch that is cut off and the silence of all peers cause such a gap as well, while the store answers all the while. The endpoint whose registration was removed was then kept for the grace that is meant for registrations that lapse in an outage.

Change: store.Client tells a connection that was established and delivered no answer (ErrConnectionLost) from a store that can't be reached or refuses. After the former, the watcher sends a watch without a wait over another connection at once. If that is answered, the store was there, the evidence counts as continuous, and what is missing is gone. Only if it fails as well does the store count as failing. A watcher that starts because its peers are silent continues the evidence that it has.

Evidence: without the change to the watcher, on the same fakes, TestEndpointThatLeavesBehindSilentConnections and TestEndpointThatLeavesWhileWatchesAreCut fail; without the last sentence, configuration.TestSilentPeersAreNoOutage does. With it they pass.

--- a/configuration/fake/link.go
+++ b/configuration/fake/link.go
@@ -24,11 +24,16 @@
 	mu      sync.Mutex
 	sources map[string]knapweedpulley.ConfigurationSource
 	silent  knapweedpulley.Set[string]
+	// streamsSilent is closed when the open streams go silent.
+	streamsSilent chan struct{}
 }
 
 // NewLinks returns links without sources.
 func NewLinks() *Links {
-	return &Links{sources: make(map[string]knapweedpulley.ConfigurationSource), silent: make(knapweedpulley.Set[string])}
+	return &Links{
+		sources: make(map[string]knapweedpulley.ConfigurationSource), silent: make(knapweedpulley.Set[string]),
+		streamsSilent: make(chan struct{}),
+	}
 }
 
 // Add makes the source of a member reachable.
@@ -45,10 +50,30 @@
 	l.silent.Add(m.Address)
 }
 
-func (l *Links) isSilent(address string) bool {
+// SilenceStreams makes all open streams deliver nothing more. New ones work.
+func (l *Links) SilenceStreams() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.streamsSilent)
+	l.streamsSilent = make(chan struct{})
+}
+
+func (l *Links) isSilent(s *stream) bool {
+	select {
+	case <-s.silent:
+		return true
+	default:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent.Has(s.to)
+}
+
+// openStreamsSilent returns the channel that is closed when the streams that are opened now go silent.
+func (l *Links) openStreamsSilent() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.silent.Has(address)
+	return l.streamsSilent
 }
 
 func (l *Links) source(to knapweedpulley.Member) (knapweedpulley.ConfigurationSource, error) {
@@ -69,7 +94,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	t := &stream{
-		ctx: ctx, links: l, to: to.Address,
+		ctx: ctx, links: l, to: to.Address, silent: l.openStreamsSilent(),
 		pings: make(chan knapweedpulley.ConfigurationPing), updates: make(chan knapweedpulley.ConfigurationUpdate),
 	}
 	go func() {
@@ -95,6 +120,7 @@
 	ctx     context.Context
 	links   *Links
 	to      string
+	silent  <-chan struct{}
 	pings   chan knapweedpulley.ConfigurationPing
 	updates chan knapweedpulley.ConfigurationUpdate
 }
@@ -123,7 +149,7 @@
 }
 
 func send[T any](s *stream, to chan<- T, message T) error {
-	if s.links.isSilent(s.to) {
+	if s.links.isSilent(s) {
 		return nil
 	}
 	select {
--- a/configuration/faults_test.go
+++ b/configuration/faults_test.go
@@ -4,6 +4,10 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/knapweedpulley/knapweedpulley"
 )
 
 // fault is a fault to inject into a fleet. The number selects the watcher that it hits, so that the
@@ -99,3 +103,42 @@
 		})
 	}
 }
+
+// Guards against an outage of the store that is concluded from the silence of all peers.
+func TestSilentPeersAreNoOutage(t *testing.T) {
+	for phase := range 10 {
+		inBubble(t, 1, 12, func(t *testing.T, f *fleet) {
+			is := is.New(t)
+			time.Sleep(time.Duration(phase) * 100 * time.Millisecond)
+			watchers := knapweedpulley.NewSet[*entry](watchersOf(f)...)
+			for _, m := range f.members {
+				if e, _ := f.entry(m.Address); !watchers.Has(e) {
+					assertNoOutageBehindSilentPeers(t, f, e)
+					return
+				}
+			}
+			is.Fail() // Each entry watches the store.
+		})
+	}
+}
+
+// assertNoOutageBehindSilentPeers silences all other entries and requires that an entry comes to watch
+// the store and knows of no outage of it.
+func assertNoOutageBehindSilentPeers(t *testing.T, f *fleet, e *entry) {
+	t.Helper()
+	is := is.New(t)
+	silentAt := clock{}.Now()
+	for _, m := range f.members {
+		if other, _ := f.entry(m.Address); other != e {
+			other.silent.Store(true)
+		}
+	}
+	time.Sleep(maxApplyTime)
+	is.True(e.Watching())
+	is.True(!e.Evidence(knapweedpulley.KindPermits).ContinuousSince.After(e.translate(silentAt)))
+}
+
+// translate returns an instant on the clock of the entry's machine.
+func (e *entry) translate(i knapweedpulley.Instant) knapweedpulley.Instant {
+	return i.Add(e.offset)
+}
--- a/configuration/fleet_test.go
+++ b/configuration/fleet_test.go
@@ -26,6 +26,8 @@
 	modelID = knapweedpulley.ModelID("gas-mixes")
 	// maxApplyTime is the time within which a change must be in force at all entry processes.
 	maxApplyTime = 5 * time.Second
+	// storeTimeout is the default timeout of a call to the store.
+	storeTimeout = 2 * time.Second
 	// settleTime is a time after which a fleet has built its distribution tree.
 	settleTime = 10 * time.Second
 )
@@ -46,7 +48,9 @@
 	member  knapweedpulley.Member
 	store   *fake.Access
 	permits *model.Permits
-	stop    func()
+	// offset is that of the clock of its machine.
+	offset time.Duration
+	stop   func()
 	// silent is set while the links of the entry drop all messages in both directions.
 	silent          atomic.Bool
 	highestRevision knapweedpulley.Revision
@@ -96,10 +100,10 @@
 
 // start starts the entry process of a member, or restarts it after kill.
 func (f *fleet) start(m knapweedpulley.Member) *entry {
-	e := &entry{fleet: f, member: m, store: fake.NewAccess(f.objects), permits: model.NewPermits()}
-	offset := time.Duration(len(m.Address)+int(m.Address[len(m.Address)-6])) * time.Hour
+	e := &entry{fleet: f, member: m, store: fake.NewAccess(f.objects, storeTimeout), permits: model.NewPermits()}
+	e.offset = time.Duration(len(m.Address)+int(m.Address[len(m.Address)-6])) * time.Hour
 	e.Configuration, e.stop = configuration.New(configuration.Options{
-		Self: m, Clock: clock{offset}, Objects: e.store, Peers: f, Link: entryLink{e},
+		Self: m, Clock: clock{e.offset}, Objects: e.store, Peers: f, Link: entryLink{e},
 		Collections: collections(e.permits), Directory: customer.NewDirectory(),
 		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 	})
--- a/configuration/watch.go
+++ b/configuration/watch.go
@@ -35,60 +35,103 @@
 	table *Table
 	// listed is when the collection was last listed. It is zero before the first request.
 	listed knapweedpulley.Instant
-	// answeringSince is when the first of the requests was sent that the store has answered without
-	// a failure in between. It is zero if the last one failed.
+	// answeringSince is the end of the last failure of the store that the watcher knows of. Without one,
+	// it is the time of the evidence with which the watch began. It is zero while the store fails.
 	answeringSince knapweedpulley.Instant
+	// unanswered is set if the last request got no answer. The next one doesn't wait for changes, so
+	// that it tells at once whether the store answers.
+	unanswered bool
+	// connectionLost is when a connection to the store last delivered no answer.
+	connectionLost knapweedpulley.Instant
+	// failing is set while the store fails, compacted if the last request met compacted changes.
+	failing, compacted bool
 }
 
+// newTableWatcher returns a watcher of a table. It continues the evidence of the table, because nothing
+// shows that the store has failed since: the peers may be silent for a reason of their own.
 func newTableWatcher(c *Configuration, t *Table) *tableWatcher {
-	return &tableWatcher{Configuration: c, table: t}
+	return &tableWatcher{Configuration: c, table: t, answeringSince: t.Evidence().CompleteAsOf}
 }
 
 // run lists and watches the collection until ctx ends.
 func (w *tableWatcher) run(ctx context.Context) {
-	failing, compacted := false, false
 	defer func() {
-		if failing {
+		if w.failing {
 			w.failingCollections.Add(-1)
 		}
 	}()
 	for ctx.Err() == nil {
 		sent := w.clock.Now()
-		list := !w.table.View().Loaded || (w.listed != 0 && sent.Sub(w.listed) > relistPeriod)
-		if w.listed == 0 {
-			w.listed = sent
-		}
-		var err error
-		if list {
-			err = w.list(ctx, sent)
-			w.listed = sent
-		} else {
-			err = w.awaitChanges(ctx, sent)
-		}
-		if errors.Is(err, knapweedpulley.ErrCompacted) {
-			w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision)).
-				Warn("changes were compacted, listing the collection again")
-			err = w.list(ctx, w.clock.Now())
-			if compacted && err == nil {
-				// A store that discards all changes at once must not be listed without a pause.
-				_ = machine.Pause(ctx, heartbeatPeriod)
-			}
-			compacted = true
-		} else {
-			compacted = false
-		}
+		err := w.request(ctx, sent)
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != failing {
-			failing = err != nil
-			w.storeStateChanged(err)
-		}
-		if err != nil {
+		switch {
+		case err == nil:
+			w.setFailing(nil)
+		case errors.Is(err, knapweedpulley.ErrConnectionLost) && !w.unanswered:
+			w.connectionFailed(ctx, err)
+		default:
+			w.setFailing(err)
 			w.answeringSince = 0
-			_ = machine.Pause(ctx, w.sourceInputs().storePause())
+			w.pauseSince(ctx, sent)
 		}
+		w.unanswered = err != nil
+	}
+}
+
+// request lists the collection or waits for its changes, with a request sent at the given time.
+func (w *tableWatcher) request(ctx context.Context, sent knapweedpulley.Instant) error {
+	list := !w.table.View().Loaded || (w.listed != 0 && sent.Sub(w.listed) > relistPeriod)
+	if w.listed == 0 {
+		w.listed = sent
+	}
+	if list {
+		w.listed = sent
+		w.compacted = false
+		return w.list(ctx, sent)
+	}
+	err := w.awaitChanges(ctx, sent)
+	if !errors.Is(err, knapweedpulley.ErrCompacted) {
+		w.compacted = false
+		return err
+	}
+	w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision)).
+		Warn("changes were compacted, listing the collection again")
+	err = w.list(ctx, w.clock.Now())
+	if w.compacted && err == nil {
+		// A store that discards all changes at once must not be listed without a pause.
+		_ = machine.Pause(ctx, heartbeatPeriod)
 	}
+	w.compacted = true
+	return err
+}
+
+// connectionFailed handles an established connection that delivered no answer. It may have stopped
+// delivering data, or the store may have cut the watch off, so the next request tells whether the
+// store answers. It is due at once unless another connection was lost just before.
+func (w *tableWatcher) connectionFailed(ctx context.Context, err error) {
+	w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision)).
+		WithError(err).Warn("connection to the store delivered no answer, checking whether the store answers another")
+	if w.connectionLost != 0 {
+		w.pauseSince(ctx, w.connectionLost)
+	}
+	w.connectionLost = w.clock.Now()
+}
+
+// pauseSince pauses until the pause after a failed request to the store has passed since an instant.
+func (w *tableWatcher) pauseSince(ctx context.Context, since knapweedpulley.Instant) {
+	rest := w.sourceInputs().storePause() - w.clock.Now().Sub(since)
+	_ = machine.Pause(ctx, max(batchPeriod, rest))
+}
+
+// setFailing records whether requests to the store fail.
+func (w *tableWatcher) setFailing(err error) {
+	if w.failing == (err != nil) {
+		return
+	}
+	w.failing = err != nil
+	w.storeStateChanged(err)
 }
 
 // storeStateChanged records that requests to the store begin to fail, or that they succeed again.
@@ -123,6 +166,9 @@
 func (w *tableWatcher) awaitChanges(ctx context.Context, sent knapweedpulley.Instant) error {
 	before := w.table.View()
 	wait := w.watchWait(w.table)
+	if w.unanswered {
+		wait = 0
+	}
 	changes, revision, err := w.objects.Watch(ctx, w.table.kind, before.Revision, wait)
 	if err != nil {
 		return err
--- a/installation/fleet_test.go
+++ b/installation/fleet_test.go
@@ -32,6 +32,8 @@
 	// applyTime is the shortest time within which our users want a change in force everywhere in
 	// a fleet of several gateways per zone.
 	applyTime = 3 * time.Second
+	// storeTimeout bounds a call to the store, as in deploy/gateway.json.tmpl.
+	storeTimeout = 700 * time.Millisecond
 	// stretchTime is the time by which our users let a configuration be later at a gateway that the
 	// store turns away. A leaving endpoint is bound only by what a stable store has confirmed.
 	stretchTime = 5 * time.Second
@@ -72,6 +74,11 @@
 	gateways []*gatewayFollower
 }
 
+func newGatewayFleet(t *testing.T) *gatewayFleet {
+	t.Helper()
+	return &gatewayFleet{fixture: newFixture(t), links: configurationfake.NewLinks()}
+}
+
 // Peers implements knapweedpulley.PeerList.
 func (f *gatewayFleet) Peers() []knapweedpulley.Member {
 	return f.members
@@ -96,7 +103,7 @@
 			// All machines start within 0.3 s of each other.
 			time.Sleep(10 * time.Millisecond)
 		}
-		g := &gatewayFollower{member: m, store: storefake.NewAccess(f.store)}
+		g := &gatewayFollower{member: m, store: storefake.NewAccess(f.store, storeTimeout)}
 		follower, cleanup := installation.NewFollower(installation.Options{
 			Self: m, Peers: f, Link: f.links, Objects: g.store,
 			Decoder: installationfake.InstallationDecoder{}, Clock: fake.Clock{},
@@ -160,7 +167,7 @@
 	t.Helper()
 	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f := &gatewayFleet{fixture: newFixture(t), links: configurationfake.NewLinks()}
+			f := newGatewayFleet(t)
 			f.startGateways(zones, perZone)
 			test(f)
 		})
@@ -285,7 +292,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		f.write(knapweedpulley.KindInstallation, knapweedpulley.MainInstallation, knapweedpulley.Installation{Version: 2})
-		store := storefake.NewAccess(f.store)
+		store := storefake.NewAccess(f.store, storeTimeout)
 		store.CutOff(true)
 		follower, cleanup := installation.NewFollower(installation.Options{
 			Self:  knapweedpulley.Member{Entry: "new", Zone: stale.member.Zone, Address: "10.0.0.99:7600"},
--- a/store.go
+++ b/store.go
@@ -67,6 +67,9 @@
 	// ErrOutcomeUnknown means that a write may or may not have taken effect, or
 	// may still do so.
 	ErrOutcomeUnknown = errors.New("outcome of the write is unknown")
+	// ErrConnectionLost means that a read was sent over an established connection that
+	// delivered no whole answer. It doesn't say whether the store is available.
+	ErrConnectionLost = errors.New("the connection delivered no answer")
 	// ErrCompacted means that a watch asked for changes the store no longer has.
 	ErrCompacted = errors.New("changes since the revision are no longer kept")
 )
--- a/store/client.go
+++ b/store/client.go
@@ -191,15 +191,30 @@
 	return l.listing(), err
 }
 
-// read sends a call that changes nothing and returns the body of the answer.
+// read sends a call that changes nothing and returns the body of the answer. If a connection was
+// established and delivers no answer, the error is knapweedpulley.ErrConnectionLost.
 func (c *Client) read(ctx context.Context, timeout time.Duration, call knapweedpulley.StoreCall) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ctx, connected := traceConnection(ctx)
 	r, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Target, http.NoBody)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	return c.call(c.reads, r)
+	body, err := c.call(c.reads, r)
+	if errors.Is(err, errNoAnswer) && connected.Load() {
+		return nil, errors.Mark(err, knapweedpulley.ErrConnectionLost)
+	}
+	return body, err
+}
+
+// traceConnection returns a context for a request, and a value that becomes true once the request
+// has a connection.
+func traceConnection(ctx context.Context) (context.Context, *atomic.Bool) {
+	connected := new(atomic.Bool)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), connected
 }
 
 // write sends a conditional write and returns its revision. A failure after the
@@ -208,10 +223,7 @@
 func (c *Client) write(ctx context.Context, call knapweedpulley.StoreCall) (knapweedpulley.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
+	ctx, connected := traceConnection(ctx)
 	r, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Target, bytes.NewReader(call.Body))
 	if err != nil {
 		return 0, errors.Wrap(err, "build request")
@@ -233,32 +245,41 @@
 		return revision, nil
 	case errors.Is(err, knapweedpulley.ErrObjectNotFound):
 		return 0, errors.Mark(err, knapweedpulley.ErrConflict)
-	case errors.Is(err, knapweedpulley.ErrConflict), errors.Is(err, errRefused), !sent.Load():
+	case errors.Is(err, knapweedpulley.ErrConflict), errors.Is(err, errRefused), !connected.Load():
 		return 0, err
 	default:
 		return 0, errors.Mark(err, knapweedpulley.ErrOutcomeUnknown)
 	}
 }
 
-// errRefused marks 4xx answers, by which the store refuses a call as invalid.
-var errRefused = errors.New("refused by the store")
+var (
+	// errRefused marks 4xx answers, by which the store refuses a call as invalid.
+	errRefused = errors.New("refused by the store")
+	// errNoAnswer marks calls without a whole answer.
+	errNoAnswer = errors.New("no answer from the store")
+)
 
 // call sends a request once and returns the body of the answer.
 func (c *Client) call(service httpc.Service, r *http.Request) ([]byte, error) {
 	response, err := service.DoRequest(r)
 	if err != nil {
-		// The cause of this failure may have broken the idle connections as well.
-		c.client.CloseIdleConnections()
-		return nil, errors.Wrap(knapweedpulley.ShortenError(err), "call store")
+		return nil, c.noAnswer(err, "call store")
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerSize))
 	if err != nil {
-		return nil, errors.Wrap(err, "read store answer")
+		return nil, c.noAnswer(err, "read store answer")
 	}
 	return body, errorOf(response.StatusCode, body)
 }
 
+// noAnswer returns the error of a call without a whole answer. It closes the idle connections, because
+// the cause may have broken them as well.
+func (c *Client) noAnswer(err error, doing string) error {
+	c.client.CloseIdleConnections()
+	return errors.Mark(errors.Wrap(knapweedpulley.ShortenError(err), doing), errNoAnswer)
+}
+
 // errorOf returns the error that the status of an answer stands for, or nil for 200.
 func errorOf(status int, body []byte) error {
 	switch {
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -29,10 +29,16 @@
 }
 
 func newClientOfHandler(t *testing.T, handler http.HandlerFunc) *store.Client {
+	t.Helper()
+	return newClient(t, newServerOfHandler(t, handler))
+}
+
+// newServerOfHandler starts a server and returns its address.
+func newServerOfHandler(t *testing.T, handler http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return newClient(t, strings.TrimPrefix(server.URL, "http://"))
+	return strings.TrimPrefix(server.URL, "http://")
 }
 
 // newResettingServer starts a server that answers the first request and resets the
