Notice a silent connection to the store within 2.4 s

Cause: where all gateways of a zone watch the store, a watch waited for 2 s. With the timeout of a call (0.7 s) and the pause between two watches of the endpoints (0.5 s), a connection that had stopped delivering data was noticed after up to 3.2 s; a gateway has to be up to date after 3 s.

Change: watches there wait for 1.7 s, those of the endpoints for 1.2 s, so that all of them notice it after 2.4 s at most. The cost is 0.6 instead of 0.5 calls a second for each quiet collection; one that changes all the time costs as much as before.

Evidence: with the waits as before, TestEndpointThatLeavesBehindSilentConnections, "connections to the store after many changes", fails at 2 zones of 1 and 1 zone of 2 gateways; with these it passes.

--- a/installation/follower.go
+++ b/installation/follower.go
@@ -48,9 +48,14 @@
 	// changes, which are rare.
 	installationWatchWait = time.Second
 	// loneWatchWait is how long a watch waits while all gateways of the zone watch the
-	// store, so that none depends on how old the evidence of another is. A connection that has stopped delivering data is noticed
-	// only after this time.
-	loneWatchWait = 2 * time.Second
+	// store, so that none depends on how old the evidence of another is. A connection that
+	// has stopped delivering data is noticed after this time and the timeout of a call, and
+	// a gateway must have caught up 3 s after the connection failed. In this time a running
+	// endpoint misses at most two updates of its registration, which lapses after three: an
+	// outage of the store that isn't noticed makes none lapse.
+	loneWatchWait = 1700 * time.Millisecond
+	// loneEndpointWait is the same for the endpoints, whose watches have a pause in between.
+	loneEndpointWait = loneWatchWait - endpointWatchInterval
 	// maxTurn bounds how long a gateway whose sources have no fresh content waits until
 	// it watches the store itself. The store may turn away all watchers of a zone and
 	// serve the other gateways.
@@ -128,7 +133,7 @@
 		},
 		{
 			Kind: knapweedpulley.KindEndpoints, Apply: f.changeEndpoints,
-			LoneWatchWait: loneWatchWait, WatchInterval: endpointWatchInterval,
+			LoneWatchWait: loneEndpointWait, WatchInterval: endpointWatchInterval,
 		},
 	}
 	if o.Evacuations {
--- a/installation/silence_test.go
+++ b/installation/silence_test.go
@@ -49,6 +49,16 @@
 	is.New(f.t).NoErr(err)
 }
 
+// changeEndpoints changes the registration of another endpoint again and again. The watches of the
+// endpoints have pauses in between then.
+func (f *gatewayFleet) changeEndpoints(d time.Duration) {
+	f.t.Helper()
+	for start, n := time.Now(), 0; time.Since(start) < d; n++ {
+		f.write(knapweedpulley.KindEndpoints, "i-1", knapweedpulley.RegisteredEndpoint{Address: "10.0.0.2:1", Slots: n})
+		time.Sleep(70 * time.Millisecond)
+	}
+}
+
 func (f *gatewayFleet) silenceStore() {
 	for _, g := range f.gateways {
 		g.store.SilenceConnections()
@@ -74,6 +84,13 @@
 			f.removeLeaving()
 			f.assertUnused(start.Add(contactTime))
 		})
+		withGatewaysInPhases("connections to the store after many changes, "+name, t, size.zones, size.perZone, func(f *gatewayFleet) {
+			f.changeEndpoints(time.Second)
+			start := time.Now()
+			f.silenceStore()
+			f.removeLeaving()
+			f.assertUnused(start.Add(contactTime))
+		})
 		withGatewaysInPhases("all connections, "+name, t, size.zones, size.perZone, func(f *gatewayFleet) {
 			start := time.Now()
 			f.silenceStore()
