Stop using an endpoint in time that left while the gateway was cut off

The check for the end of the grace ran every 0.55 s, and required evidence younger than 2.2 s, which is older than that for much of the time where watches wait for longer than 1.1 s. A call that was sent during the cut was awaited for up to 2.7 s after it. Together the endpoint was used for up to 6 s after the cut; a gateway has to be up to date 3 s after it.

Change: the check runs every 0.1 s, and asks for evidence that is fresh by the same measure as elsewhere.

Outages keep their grace: TestRegistrationsThatLapseInSilentOutage.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -137,6 +137,12 @@
 	return c.table(kind).Evidence()
 }
 
+// Fresh reports whether the evidence of a replicated collection is recent. It panics if the collection
+// is not replicated.
+func (c *Configuration) Fresh(kind knapweedpulley.Kind) bool {
+	return c.freshTable(c.table(kind))
+}
+
 // Changed returns a channel that is closed at the next change of any content. Callers must get the
 // channel before they read the content, or they may miss a change.
 func (c *Configuration) Changed() <-chan struct{} {
@@ -244,14 +250,18 @@
 // fresh reports whether the evidence of all collections is fresh.
 func (c *Configuration) fresh() bool {
 	for _, t := range c.tables {
-		e := t.Evidence().CompleteAsOf
-		if e == 0 || c.clock.Now().Sub(e) > staleAfter+staleTolerance(c.watchWait(t)) {
+		if !c.freshTable(t) {
 			return false
 		}
 	}
 	return true
 }
 
+func (c *Configuration) freshTable(t *Table) bool {
+	e := t.Evidence().CompleteAsOf
+	return e != 0 && c.clock.Now().Sub(e) <= staleAfter+staleTolerance(c.watchWait(t))
+}
+
 // watchWait returns how long the store holds a watch of a collection without changes.
 func (c *Configuration) watchWait(t *Table) time.Duration {
 	if c.lone.Load() {
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -56,6 +56,9 @@
 	loneWatchWait = 1700 * time.Millisecond
 	// loneEndpointWait is the same for the endpoints, whose watches have a pause in between.
 	loneEndpointWait = loneWatchWait - endpointWatchInterval
+	// missingCheckPeriod is the time between two checks for endpoints that did not register again. It
+	// adds to the grace.
+	missingCheckPeriod = 100 * time.Millisecond
 	// maxTurn bounds how long a gateway whose sources have no fresh content waits until
 	// it watches the store itself. The store may turn away all watchers of a zone and
 	// serve the other gateways.
@@ -151,7 +154,7 @@
 		Collections: collections,
 	})
 	f.Configuration = replica
-	stopRemoval := machine.Every(reregistrationGrace/4, f.removeMissing)
+	stopRemoval := machine.Every(missingCheckPeriod, f.removeMissing)
 	return f, func() {
 		stopReplica()
 		stopRemoval()
@@ -341,8 +344,7 @@
 func (f *Follower) removeMissing() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	age := f.clock.Now().Sub(f.Evidence(knapweedpulley.KindEndpoints).CompleteAsOf)
-	if len(f.missing) == 0 || f.afterOutage() || age > reregistrationGrace {
+	if len(f.missing) == 0 || f.afterOutage() || !f.Fresh(knapweedpulley.KindEndpoints) {
 		return
 	}
 	for id := range f.missing {
--- a/installation/silence_test.go
+++ b/installation/silence_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/knapweedpulley/knapweedpulley"
+	storefake "github.com/knapweedpulley/knapweedpulley/store/fake"
 )
 
 const (
@@ -153,3 +154,42 @@
 		}
 	})
 }
+
+// Guards against requests to an endpoint that left while the gateways were cut off from the store, because
+// a call that was sent during the cut is awaited for long after it.
+func TestEndpointThatLeavesWhileGatewaysAreCutOff(t *testing.T) {
+	withGatewaysInPhases("the store answers nothing", t, 2, 1, func(f *gatewayFleet) {
+		f.setReachability(storefake.Unanswered)
+		f.silenceStore()
+		time.Sleep(4 * time.Second)
+		f.removeLeaving()
+		start := time.Now()
+		f.setReachability(storefake.Reachable)
+		f.assertUnused(start.Add(contactTime))
+	})
+}
+
+func (f *gatewayFleet) setReachability(r storefake.Reachability) {
+	for _, g := range f.gateways {
+		g.store.SetReachability(r)
+	}
+}
+
+// Guards against a removal of all endpoints after an outage of the store that was noticed only by silence.
+func TestRegistrationsThatLapseInSilentOutage(t *testing.T) {
+	for _, size := range []struct{ zones, perZone int }{{2, 1}, {2, 6}} {
+		name := fmt.Sprintf("%d zones of %d gateways", size.zones, size.perZone)
+		withGatewaysInPhases(name, t, size.zones, size.perZone, func(f *gatewayFleet) {
+			f.setReachability(storefake.Unanswered)
+			f.silenceStore()
+			time.Sleep(4500 * time.Millisecond)
+			f.removeLeaving()
+			f.setReachability(storefake.Reachable)
+			// The endpoint registers again within 2 s.
+			time.Sleep(2 * time.Second)
+			f.assertEverywhere(leaving, true, 0, all)
+			time.Sleep(3 * time.Second)
+			f.assertEverywhere(leaving, false, 0, all)
+		})
+	}
+}
