Don't take an answer with an undefined status for an answer

What callers saw (status 000, seen at other systems): for an answer of a back end with status 000, 001, 020, 099 or +20 package net/http panicked in WriteHeader and closed the channel, and a call that may be repeated wasn't sent to another endpoint; 600 and 999 reached the caller with the server's stamp and body.

Cause: http.ReadResponse reads every status of three characters that strconv.Atoi reads. Nothing else checked it, and what is below 300 counted as a success.

Change: engine/exchange, through which all answers of back ends come, fails an exchange whose status is none of HTTP's final ones (200 to 599). Such a call may have run: one that may be repeated is sent elsewhere, others end with 502 without the server's header. The same for the other readers: the head that an agent passes on (link), the answer in a claim (from a record or another entry), and the client of the admin API, which took all but 4xx and 5xx for a success. store/client.go, platform/engine.go and engine/engine.go compare with single statuses; the two latter read through engine/exchange.

--- a/admin/client.go
+++ b/admin/client.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return nil, unreachable(c.base.Host, err)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return nil, refusalFromBody(response.StatusCode, body)
 	}
 	return body, nil
--- a/claim.go
+++ b/claim.go
@@ -51,7 +51,7 @@
 		return NewRefusal(CodeDuplicate, MayHaveRun, "a request with this idempotency key is running or may have run")
 	case r.State == ClaimMismatch:
 		return NewRefusal(CodeConflict, NotRun, "the idempotency key was used with another request")
-	case r.State == ClaimAnswered && r.Answer.Head.Status == 0:
+	case r.State == ClaimAnswered && !IsFinalStatus(r.Answer.Head.Status):
 		return NewRefusal(CodeDuplicate, MayHaveRun, "the request was answered before; its answer is not kept")
 	default:
 		return nil
--- a/engine/exchange/exchange.go
+++ b/engine/exchange/exchange.go
@@ -81,6 +81,10 @@
 	if err != nil {
 		return nil, Refuse(ctx, knapweedpulley.ShortenError(err), verdictFor(connected.Load()))
 	}
+	if !knapweedpulley.IsFinalStatus(response.StatusCode) {
+		_ = response.Body.Close()
+		return nil, Refuse(ctx, errOddStatus(response), knapweedpulley.MayHaveRun)
+	}
 	return response, nil
 }
 
--- a/engine/exchange/pool.go
+++ b/engine/exchange/pool.go
@@ -220,6 +220,9 @@
 		}
 		c.limit.reading = false
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
+		if !informational && !knapweedpulley.IsFinalStatus(response.StatusCode) {
+			return nil, errOddStatus(response)
+		}
 		if !informational && m.IsAnswer(response.Header) {
 			c.limit.left = -1
 			early := len(m.Body) > maxInlineBodyBytes && c.unacknowledged() > 0
@@ -234,6 +237,12 @@
 	return nil, errors.New("none of the answers received belongs to the request")
 }
 
+// errOddStatus returns the error of an answer with a status that HTTP doesn't define. Its other bytes
+// mean nothing either.
+func errOddStatus(response *http.Response) error {
+	return errors.Newf("back end answered with the undefined status %d", response.StatusCode)
+}
+
 // send writes a request. Of a longer body the rest is written from the caller's memory: a copy would double what
 // the request takes. Its start goes with the head, so that a server which has read the head alone and closes the
 // connection has unread bytes and resets it: the end of an answer without a length would look orderly otherwise.
--- a/knapweedpulley_test.go
+++ b/knapweedpulley_test.go
@@ -38,6 +38,18 @@
 	})
 }
 
+// Guards against an answer with a status that HTTP doesn't define, from a record or another process.
+func TestAnsweredClaimWithOddStatusIsRefused(t *testing.T) {
+	for _, status := range []int{-1, 0, 1, 99, 100, 600, 999} {
+		answer := knapweedpulley.Answer{Head: knapweedpulley.AnswerHead{Status: status}}
+		r := knapweedpulley.ClaimResult{State: knapweedpulley.ClaimAnswered, Answer: answer}.Refusal()
+		is.New(t).True(r != nil)
+		assertVerdict(t, r, knapweedpulley.MayHaveRun)
+	}
+	answer := knapweedpulley.Answer{Head: knapweedpulley.AnswerHead{Status: 204}}
+	is.New(t).True(knapweedpulley.ClaimResult{State: knapweedpulley.ClaimAnswered, Answer: answer}.Refusal() == nil)
+}
+
 func TestRefusalCause(t *testing.T) {
 	refusal := knapweedpulley.NewRefusal(knapweedpulley.CodeDraining, knapweedpulley.NotRun, "stopping")
 	assertCause := func(t *testing.T, cause error, want *knapweedpulley.Refusal) {
--- a/link/endpoint.go
+++ b/link/endpoint.go
@@ -103,6 +103,11 @@
 		if err != nil {
 			return e.cancelAndAwait(ctx, c)
 		}
+		if d.head != nil && !knapweedpulley.IsFinalStatus(int(d.head.GetStatus())) {
+			e.cancel(c)
+			return knapweedpulley.Usage{}, knapweedpulley.NewRefusal(knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun,
+				"the agent passed on the undefined status %d", d.head.GetStatus())
+		}
 		if err := e.deliver(c, d, w); err != nil {
 			e.cancel(c)
 			return knapweedpulley.Usage{}, knapweedpulley.NewRefusal(
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -32,6 +32,8 @@
 	orders  atomic.Int64
 	hold    chan struct{}
 	started chan struct{}
+	// status is the status of answers. Only those with status 200 have a body.
+	status int
 }
 
 func newFakeAgent() *fakeAgent {
@@ -39,6 +41,7 @@
 		runs:    make(map[knapweedpulley.RequestID]int),
 		hold:    make(chan struct{}),
 		started: make(chan struct{}, 16),
+		status:  200,
 	}
 }
 
@@ -48,9 +51,12 @@
 	a.mu.Lock()
 	a.runs[r.ID]++
 	a.mu.Unlock()
-	if err := w.WriteHead(knapweedpulley.AnswerHead{Status: 200}); err != nil {
+	if err := w.WriteHead(knapweedpulley.AnswerHead{Status: a.status}); err != nil {
 		return knapweedpulley.Usage{}, err
 	}
+	if a.status != 200 {
+		return knapweedpulley.Usage{}, nil
+	}
 	answer := answerTo(r)
 	half := len(answer) / 2
 	if _, err := w.Write(answer[:half]); err != nil {
@@ -306,6 +312,14 @@
 		c, err := p.run(t, "request-1", p.proxy.silence)
 		assertCompleteAnswer(t, p, "request-1", c, err)
 	})
+	t.Run("an answer with an undefined status doesn't reach the caller", func(t *testing.T) {
+		p := newLinkFixture(t)
+		p.agent.status = 0
+		c := &recordedAnswer{}
+		_, err := p.endpoint.Run(t.Context(), knapweedpulley.Request{ID: "request-1", Timeout: time.Minute}, c)
+		assertRefusal(t, err, knapweedpulley.CodeEngineFailed, knapweedpulley.MayHaveRun)
+		is.New(t).Equal(c.heads, 0)
+	})
 	t.Run("without a valid lease a request is refused and not sent", func(t *testing.T) {
 		p := newLinkFixture(t)
 		p.lease.revoked.Store(true)
--- a/request.go
+++ b/request.go
@@ -89,6 +89,18 @@
 	Header []HeaderField
 }
 
+// Bounds of the statuses of HTTP that end an exchange. Lower ones are informational.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// IsFinalStatus reports whether HTTP defines a status as the end of an exchange. Package net/http reads
+// statuses that HTTP doesn't define, such as 000, and panics if one of them is to be written.
+func IsFinalStatus(status int) bool {
+	return minFinalStatus <= status && status <= maxFinalStatus
+}
+
 // AnswerWriter receives an answer. The calls come in order from one goroutine.
 type AnswerWriter interface {
 	// WriteHead receives the status and header, once, before the first bytes.
