Refuse without the header of an answer when a handler panics

What a caller could see: a refusal with status 500 that bore the server's stamp and whose body broke off at the Content-Length of the server's answer. After a panic in the middle of a body the refusal was written into that body, which then looked complete.

Cause: recoverPanics wrote its refusal whatever the handler had set or written before.

Change: it clears the header before its refusal. If the answer has begun, it breaks the connection instead.

Evidence: TestServe, "a refusal after a panic has nothing of the answer" and "an answer in whose middle a handler panics does not look complete", fail without the change and pass with it.

--- a/web/web.go
+++ b/web/web.go
@@ -182,25 +182,51 @@
 	return recoverPanics(mux), nil
 }
 
-// recoverPanics answers with a refusal if a handler panics. It lets http.ErrAbortHandler through,
-// with which a handler breaks the connection during a partial answer. The recovery in rest also
-// stops that panic, so that the partial answer looks complete.
+// recoverPanics answers with a refusal if a handler panics before it has begun an answer, without the
+// header that the handler has set for its answer. It breaks the connection if an answer has begun, so
+// that the partial answer doesn't look complete; a handler does that itself with http.ErrAbortHandler.
 func recoverPanics(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun := &answerTracker{ResponseWriter: w}
 		defer func() {
-			switch cause := recover(); cause {
-			case nil:
-			case http.ErrAbortHandler: //nolint:errorlint // net/http compares it in the same way.
-				panic(cause)
+			switch cause := recover(); {
+			case cause == nil:
+			case begun.answered || cause == http.ErrAbortHandler: //nolint:errorlint // net/http compares it in the same way.
+				panic(http.ErrAbortHandler)
 			default:
+				clear(w.Header())
 				WriteRefusal(w, knapweedpulley.NewRefusal(knapweedpulley.CodeInternal, knapweedpulley.MayHaveRun,
 					"internal error"))
 			}
 		}()
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(begun, r)
 	})
 }
 
+// answerTracker records whether an answer has begun.
+type answerTracker struct {
+	http.ResponseWriter
+	answered bool
+}
+
+// WriteHeader implements http.ResponseWriter. It panics, as package net/http does, if the status is
+// none of HTTP; the answer has not begun then.
+func (t *answerTracker) WriteHeader(status int) {
+	t.ResponseWriter.WriteHeader(status)
+	t.answered = t.answered || status >= http.StatusOK
+}
+
+// Write implements http.ResponseWriter.
+func (t *answerTracker) Write(p []byte) (int, error) {
+	t.answered = true
+	return t.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (t *answerTracker) Unwrap() http.ResponseWriter {
+	return t.ResponseWriter
+}
+
 // prefixHandler returns the handler for paths that match no route.
 func prefixHandler(prefixes []Prefix) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/web/web_test.go
+++ b/web/web_test.go
@@ -42,6 +42,18 @@
 	is.True(strings.Contains(string(body), part))
 }
 
+// assertIncomplete asserts that a client notices that an answer broke off.
+func assertIncomplete(t *testing.T, url string) {
+	t.Helper()
+	answer, err := http.Get(url) //nolint:gosec // The test's own server.
+	if err != nil {
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, err = io.ReadAll(answer.Body)
+	is.New(t).True(err != nil)
+}
+
 func TestServe(t *testing.T) {
 	is := is.New(t)
 	address := freeAddress(t)
@@ -51,10 +63,26 @@
 		panic(http.ErrAbortHandler)
 	}
 	panicking := func(http.ResponseWriter, *http.Request) { panic("fault") }
+	withHeader := func(status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Server-Stamp", "s1")
+			w.Header().Set("Content-Length", "1")
+			w.WriteHeader(status)
+			panic("fault")
+		}
+	}
+	panickingInBody := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 1<<16))
+		panic("fault")
+	}
 	cleanup, err := web.Serve(address, nil, []rest.Route{
 		{Method: http.MethodGet, Path: "/hello", Handler: hello},
 		{Method: http.MethodGet, Path: "/part", Handler: partial},
 		{Method: http.MethodGet, Path: "/fault", Handler: panicking},
+		{Method: http.MethodGet, Path: "/fault-status", Handler: withHeader(0)},
+		{Method: http.MethodGet, Path: "/fault-hints", Handler: withHeader(http.StatusEarlyHints)},
+		{Method: http.MethodGet, Path: "/fault-head", Handler: withHeader(http.StatusOK)},
+		{Method: http.MethodGet, Path: "/fault-body", Handler: panickingInBody},
 	}, web.Prefix{Path: "/below/", Handler: hello})
 	is.NoErr(err)
 
@@ -70,13 +98,23 @@
 	t.Run("a panic of a handler is answered with a verdict", func(t *testing.T) {
 		assertAnswer(t, "http://"+address+"/fault", http.StatusInternalServerError, `"verdict":"mayHaveRun"`)
 	})
+	// Guards against a refusal that bears the header of another answer.
+	for _, path := range []string{"/fault-status", "/fault-hints"} {
+		t.Run("a refusal after a panic has nothing of the answer: "+path, func(t *testing.T) {
+			assertAnswer(t, "http://"+address+path, http.StatusInternalServerError, `"verdict":"mayHaveRun"`)
+			is := is.New(t)
+			answer, err := http.Get("http://" + address + path) //nolint:gosec // The test's own server.
+			is.NoErr(err)
+			defer func() { _ = answer.Body.Close() }()
+			is.Equal(answer.Header.Get("X-Server-Stamp"), "")
+		})
+	}
 	t.Run("a partial answer does not look complete", func(t *testing.T) {
-		is := is.New(t)
-		answer, err := http.Get("http://" + address + "/part") //nolint:gosec // The test's own server.
-		is.NoErr(err)
-		defer func() { _ = answer.Body.Close() }()
-		_, err = io.ReadAll(answer.Body)
-		is.True(err != nil)
+		assertIncomplete(t, "http://"+address+"/part")
+	})
+	t.Run("an answer in whose middle a handler panics does not look complete", func(t *testing.T) {
+		assertIncomplete(t, "http://"+address+"/fault-body")
+		assertIncomplete(t, "http://"+address+"/fault-head")
 	})
 	t.Run("a port in use is an error", func(t *testing.T) {
 		_, err := web.Serve(address, nil, nil)
