--- a/faults/cases/cases_test.go
+++ b/faults/cases/cases_test.go
@@ -31,11 +31,11 @@
 // caseNumber is the number of a case, and the name of its folder.
 type caseNumber string
 
-// cases are the cases of the review.
-var cases = []caseNumber{"1", "2", "3", "4", "5"}
+// cases are the cases of the reviews that the programs pass.
+var cases = []caseNumber{"1", "2", "3", "4", "5", "6"}
 
 // withControl are the cases that also run without their disruption.
-var withControl = knapweedpulley.NewSet[caseNumber]("2")
+var withControl = knapweedpulley.NewSet[caseNumber]("2", "6")
 
 // excluded are the paths of the repository that are built or only kept.
 var excluded = knapweedpulley.NewSet(".git", ".build", ".tools", ".local", "target", "journal", "review/.build")
@@ -97,10 +97,12 @@
 	assertExit(t, 0, c.run(t, buildTimeout, nil, "sh", "-c", string(command[1])))
 }
 
-// buildStandIn runs the review's build script.
-func (c *checkout) buildStandIn(t *testing.T) {
+// buildStandIns runs the build scripts of the reviews.
+func (c *checkout) buildStandIns(t *testing.T) {
 	t.Helper()
-	assertExit(t, 0, c.run(t, buildTimeout, nil, filepath.Join(c.root, "review", "build.sh")))
+	for _, script := range []string{"build.sh", "build-2.sh"} {
+		assertExit(t, 0, c.run(t, buildTimeout, nil, filepath.Join(c.root, "review", script)))
+	}
 }
 
 // runCase runs the script of a case.
@@ -147,7 +149,7 @@
 		assertExit(t, 2, o)
 		is.New(t).True(strings.Contains(o.output, "review/build.sh"))
 	})
-	c.buildStandIn(t)
+	c.buildStandIns(t)
 	t.Run("a case without the programs names the one that is missing", func(t *testing.T) {
 		o := c.runCase(t, cases[0])
 		assertExit(t, 2, o)
