Let endpoints leave behind silent connections to the store in the soak

The open connections between the gateways and the store go silent, new ones work, and an endpoint leaves without draining and serves for another 4.5 s. A run that starts there later than 2 s after its registration was removed is a violation if the gateway had been undisturbed for 3 s when the request was sent. The draws have a stream of their own, so that the seeds kept in the suite keep their faults.

--- a/faults/soak/check.go
+++ b/faults/soak/check.go
@@ -41,6 +41,7 @@
 		checkTimeLimits(cluster, o, runs)
 		checkNotCut(cluster, o, runs)
 		checkEvacuation(cluster, o, runs)
+		checkLeaving(cluster, o, runs)
 	}
 }
 
--- a/faults/soak/endpoint.go
+++ b/faults/soak/endpoint.go
@@ -77,16 +77,18 @@
 // Recorder collects the runs of requests at all endpoints, and the violations that the
 // soak found.
 type Recorder struct {
-	mu         sync.Mutex
-	runs       map[string][]Run
-	refused    map[string]bool
+	mu      sync.Mutex
+	runs    map[string][]Run
+	refused map[string]bool
+	// left holds the instances of endpoints whose registrations were removed.
+	left       map[string]time.Time
 	deadly     deadlyPart
 	violations []string
 }
 
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
-	return &Recorder{runs: make(map[string][]Run), refused: make(map[string]bool)}
+	return &Recorder{runs: make(map[string][]Run), refused: make(map[string]bool), left: make(map[string]time.Time)}
 }
 
 // recordRun records that a run of a request has started. It returns a function that records its end.
@@ -162,8 +164,10 @@
 	highestToken  uint64
 	lastLateOrder *order
 	drainingSince time.Time
-	running       bool
-	closed        bool
+	// hasLeft is set if the registration of the running instance was removed.
+	hasLeft bool
+	running bool
+	closed  bool
 	// coldTime is how long the endpoint is cold after its start. coldArrivals are the arrivals of the
 	// requests that it has admitted while it was cold.
 	coldTime     time.Duration
@@ -210,7 +214,7 @@
 		e.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(e.publicAddress, ":", "-"), e.starts)
 		e.highestToken = 0
 	}
-	e.running = true
+	e.running, e.hasLeft = true, false
 	e.disturbedAt = time.Now()
 	e.startedAtMs = e.disturbedAt.UnixMilli()
 	e.loadedModels, e.adapters, e.loading, e.sequence, e.drainingSince = nil, make(map[string][]string), false, 0, time.Time{}
@@ -284,7 +288,7 @@
 func (e *Endpoint) Drain() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.running {
+	if !e.running || e.hasLeft {
 		return nil
 	}
 	e.drainingSince = time.Now()
@@ -294,7 +298,7 @@
 func (e *Endpoint) sendHeartbeats(id string, stop <-chan struct{}) {
 	for {
 		e.mu.Lock()
-		if e.id == id && e.running {
+		if e.id == id && e.running && !e.hasLeft {
 			if err := e.register(); err != nil {
 				e.recorder.RecordViolation("the fake store rejected the entry of an endpoint: %v", err)
 			}
--- a/faults/soak/injector.go
+++ b/faults/soak/injector.go
@@ -20,6 +20,8 @@
 	orderStream   = 1 << 35
 	// evacuationStream draws the evacuations of a zone.
 	evacuationStream = 1 << 36
+	// leavingStream draws the endpoints that leave behind silent connections.
+	leavingStream = 1 << 37
 )
 
 // Injector injects random faults into a cluster, several at a time.
@@ -27,10 +29,10 @@
 	cluster *Cluster
 	random  *rand.Rand
 	// seriesRandom draws the series of faults, endlessRandom the endpoints that send without end,
-	// mergeRandom the mergers of customers, orderRandom the late orders and evacuationRandom the
-	// evacuations. The draws of random do not depend on them, so that the regression seeds keep their
-	// faults.
-	seriesRandom, endlessRandom, mergeRandom, orderRandom, evacuationRandom *rand.Rand
+	// mergeRandom the mergers of customers, orderRandom the late orders, evacuationRandom the
+	// evacuations and leavingRandom the endpoints that leave behind silent connections. The draws of
+	// random do not depend on them, so that the regression seeds keep their faults.
+	seriesRandom, endlessRandom, mergeRandom, orderRandom, evacuationRandom, leavingRandom *rand.Rand
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -51,7 +53,8 @@
 	return &Injector{
 		cluster: cluster, random: random, seriesRandom: source(seriesStream), endlessRandom: source(endlessStream),
 		mergeRandom: source(mergeStream), orderRandom: source(orderStream), evacuationRandom: source(evacuationStream),
-		counts: make(map[string]int), busySubjects: make(map[any]bool),
+		leavingRandom: source(leavingStream),
+		counts:        make(map[string]int), busySubjects: make(map[any]bool),
 	}
 }
 
@@ -83,6 +86,7 @@
 	i.active.Go(func() { i.runEndless(ctx) })
 	i.active.Go(func() { i.mergeCustomers(ctx) })
 	i.active.Go(func() { i.evacuateZone(ctx) })
+	i.active.Go(func() { i.leaveBehindSilence(ctx, i.leavingRandom) })
 	i.active.Go(func() {
 		for ctx.Err() == nil {
 			i.lateOrders(i.orderRandom)
