Follow a registration at once that comes back after its removal

Found by TestMovedCallReturnsToEndpointThatWasAway, which failed since: a stream that had left a silent endpoint was cut (engineFailed), because the endpoint it could have returned to was still taken for gone 0.5 s after its registration had lapsed and come back within 50 ms.

Cause: after a watch that returned early with a change, the next one followed only after the interval of 0.5 s.

Change: no interval after a removal. It bounds calls for changes that come all the time, and removals don't.

--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -30,8 +30,8 @@
 	// LoneWatchWait is the same while all processes of the zone watch the store. Zero stands for
 	// WatchWait.
 	LoneWatchWait time.Duration
-	// WatchInterval is the minimum time between two watch requests. It bounds the calls to the
-	// store for a collection that changes all the time.
+	// WatchInterval is the minimum time between two watch requests, except after a removal. It bounds
+	// the calls to the store for a collection that changes all the time.
 	WatchInterval time.Duration
 }
 
--- a/configuration/watch.go
+++ b/configuration/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -176,16 +177,25 @@
 	if revision >= before.Revision {
 		w.table.Advance(before.Revision, withFullValues(w.table.trimChanges(changes)), revision, w.evidence(sent))
 	}
-	took := w.clock.Now().Sub(sent)
-	rest := max(batchPeriod, w.table.watchInterval-took)
-	if len(changes) == 0 {
-		rest = max(wait, w.table.watchInterval) - took
-	}
 	err = w.recordAnswer(before, revision, sent)
-	_ = machine.Pause(ctx, rest)
+	_ = machine.Pause(ctx, w.pauseAfter(changes, wait, w.clock.Now().Sub(sent)))
 	return err
 }
 
+// pauseAfter returns the pause after a watch with the given wait that took a time and returned changes.
+// An object that was removed may be back at once, so the interval doesn't apply after a removal.
+func (w *tableWatcher) pauseAfter(changes []knapweedpulley.Change, wait, took time.Duration) time.Duration {
+	removed := func(c knapweedpulley.Change) bool { return c.Deleted }
+	switch {
+	case len(changes) == 0:
+		return max(wait, w.table.watchInterval) - took
+	case slices.ContainsFunc(changes, removed):
+		return batchPeriod
+	default:
+		return max(batchPeriod, w.table.watchInterval-took)
+	}
+}
+
 // evidence returns the evidence of an answer to a request that was sent at the given time.
 func (w *tableWatcher) evidence(sent knapweedpulley.Instant) Evidence {
 	if w.answeringSince == 0 {
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -442,12 +443,14 @@
 
 // A call that could not return to the endpoint that it had left was cut, though that endpoint was sound.
 func TestMovedCallReturnsToEndpointThatWasAway(t *testing.T) {
-	// serve changes something while the call runs at its new endpoint, where it fails.
-	serve := func(t *testing.T, change func(d deployment, g *gateway.Gateway, left knapweedpulley.EndpointID)) {
+	// serve changes something while the call runs at its new endpoint, where it fails. The gateway has been
+	// running for a time before.
+	serve := func(t *testing.T, running time.Duration, change func(d deployment, g *gateway.Gateway, left knapweedpulley.EndpointID)) {
 		t.Helper()
 		d, x := breakingSecond()
 		d.objects = d.newStore(t)
 		g := d.newGateway(t)
+		time.Sleep(running)
 		var group sync.WaitGroup
 		group.Go(func() {
 			answer, err := serveCall(t, g)
@@ -459,20 +462,22 @@
 		group.Wait()
 		assertReturned(t, x)
 	}
-	inBubble("whose registration has lapsed and come back", t, func(t *testing.T) {
-		serve(t, func(d deployment, _ *gateway.Gateway, left knapweedpulley.EndpointID) {
-			is := is.New(t)
-			entry, err := d.objects.Get(t.Context(), knapweedpulley.KindEndpoints, string(left))
-			is.NoErr(err)
-			_, err = d.objects.Delete(t.Context(), knapweedpulley.KindEndpoints, string(left), entry.Revision)
-			is.NoErr(err)
-			time.Sleep(50 * time.Millisecond)
-			_, err = d.objects.Put(t.Context(), knapweedpulley.KindEndpoints, string(left), entry.Value, 0)
-			is.NoErr(err)
+	for running := time.Duration(0); running < 2*time.Second; running += 100 * time.Millisecond {
+		inBubble(fmt.Sprintf("whose registration has lapsed and come back, after %s", running), t, func(t *testing.T) {
+			serve(t, running, func(d deployment, _ *gateway.Gateway, left knapweedpulley.EndpointID) {
+				is := is.New(t)
+				entry, err := d.objects.Get(t.Context(), knapweedpulley.KindEndpoints, string(left))
+				is.NoErr(err)
+				_, err = d.objects.Delete(t.Context(), knapweedpulley.KindEndpoints, string(left), entry.Revision)
+				is.NoErr(err)
+				time.Sleep(50 * time.Millisecond)
+				_, err = d.objects.Put(t.Context(), knapweedpulley.KindEndpoints, string(left), entry.Value, 0)
+				is.NoErr(err)
+			})
 		})
-	})
+	}
 	inBubble("that wants no requests for a moment", t, func(t *testing.T) {
-		serve(t, func(_ deployment, g *gateway.Gateway, left knapweedpulley.EndpointID) {
+		serve(t, 0, func(_ deployment, g *gateway.Gateway, left knapweedpulley.EndpointID) {
 			is.New(t).True(g.Fleet.Endpoints()[left].HoldBack(600 * time.Millisecond))
 		})
 	})
