Follow a store that has come back from an older copy

Before, a gateway refused the store's lower revision ("older than the known revision") until it had passed the known one, and could take a watch over reassigned revisions for complete.

The upper bits of a revision hold this epoch, so that content of a later epoch is newer everywhere, between gateways too. A watch that is answered in another epoch counts as compacted. A new epoch is an outage: endpoints and evacuated zones that the copy lacks are kept for the grace.

Evidence: with the epochs of the stand-in not told apart, TestStoreThatComesBackFromCopyIsFollowed fails; without the outage TestEndpointThatCopyLacksIsKept, without the check of copied registrations TestEndpointThatLeftStaysUnused, without the hold on zones TestZoneThatCopyLacksStaysEvacuated, and without the check of the watch's epoch platform.TestRevisionsOfTwoErasDiffer.

--- a/configuration/table.go
+++ b/configuration/table.go
@@ -122,7 +122,7 @@
 	for _, o := range objects {
 		next[o.Name] = o
 	}
-	merged := t.Evidence().merge(evidence)
+	merged := t.mergeEvidence(evidence, revision)
 	t.continuousSince.Store(int64(merged.ContinuousSince))
 	t.publish(next, difference(old.Objects, next, revision), revision, !old.Loaded)
 	t.completeAsOf.Store(int64(merged.CompleteAsOf))
@@ -142,7 +142,7 @@
 	}
 	// The owner may need to know of an outage when it is notified of the changes after it. The
 	// content must be published before the evidence for it.
-	merged := t.Evidence().merge(evidence)
+	merged := t.mergeEvidence(evidence, to)
 	if to > old.Revision {
 		fresh, next, ok := applyChanges(old, changes)
 		if !ok {
@@ -156,6 +156,16 @@
 	return true
 }
 
+// mergeEvidence returns the evidence after evidence of content up to a revision has arrived. A later
+// epoch of the store follows an outage, however short that was.
+func (t *Table) mergeEvidence(evidence Evidence, revision knapweedpulley.Revision) Evidence {
+	merged := t.Evidence().merge(evidence)
+	if v := t.View(); v.Loaded && revision.Epoch() > v.Revision.Epoch() {
+		merged.ContinuousSince = cmp.Or(evidence.ContinuousSince, evidence.CompleteAsOf)
+	}
+	return merged
+}
+
 // Since returns the changes after a revision and the view that they lead to. It returns false if
 // some of the changes are no longer kept.
 func (t *Table) Since(revision knapweedpulley.Revision) ([]knapweedpulley.ConfigurationChange, *View, bool) {
--- a/configuration/watch.go
+++ b/configuration/watch.go
@@ -97,7 +97,7 @@
 		w.compacted = false
 		return err
 	}
-	w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision)).
+	w.log.WithField("collection", string(w.table.kind)).WithField("revision", w.table.View().Revision.String()).
 		Warn("changes were compacted, listing the collection again")
 	err = w.list(ctx, w.clock.Now())
 	if w.compacted && err == nil {
@@ -112,7 +112,7 @@
 // delivering data, or the store may have cut the watch off, so the next request tells whether the
 // store answers. It is due at once unless another connection was lost just before.
 func (w *tableWatcher) connectionFailed(ctx context.Context, err error) {
-	w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision)).
+	w.log.WithField("collection", string(w.table.kind)).WithField("revision", w.table.View().Revision.String()).
 		WithError(err).Warn("connection to the store delivered no answer, checking whether the store answers another")
 	if w.connectionLost != 0 {
 		w.pauseSince(ctx, w.connectionLost)
@@ -137,7 +137,7 @@
 
 // storeStateChanged records that requests to the store begin to fail, or that they succeed again.
 func (w *tableWatcher) storeStateChanged(err error) {
-	entry := w.log.WithField("collection", string(w.table.kind)).WithField("revision", uint64(w.table.View().Revision))
+	entry := w.log.WithField("collection", string(w.table.kind)).WithField("revision", w.table.View().Revision.String())
 	if err != nil {
 		w.failingCollections.Add(1)
 		entry.WithError(err).Warn("store request failed, retrying")
@@ -154,6 +154,11 @@
 		return err
 	}
 	before := w.table.View()
+	if before.Loaded && l.Revision.Epoch() > before.Revision.Epoch() {
+		w.log.WithField("collection", string(w.table.kind)).WithField("revision", l.Revision.String()).
+			WithField("known", before.Revision.String()).Warn("store has come back from an older copy")
+		w.answeringSince = sent
+	}
 	w.table.Replace(w.table.trimObjects(l.Objects), l.Revision, w.evidence(sent))
 	after := w.table.View()
 	if before.Revision == after.Revision && before.Loaded && before.Digest != after.Digest {
--- a/ids.go
+++ b/ids.go
@@ -40,13 +40,41 @@
 // on the same machine has a higher incarnation.
 type Incarnation uint64
 
+// StoreEpoch counts how often the store has come back from an older copy of its content. It
+// then has lost writes that it had acknowledged, and assigns their revisions again.
+type StoreEpoch uint16
+
 // Revision is the version of an object in the platform's store. Revisions increase
-// across all objects of the store; zero stands for an object that does not exist.
+// across all objects of the store; zero stands for an object that does not exist. The
+// upper bits hold the epoch, so that a revision of a later epoch is always higher.
 type Revision uint64
 
-// String returns the decimal form of the revision.
+// epochShift is the number of bits of a revision's number within its epoch.
+const epochShift = 48
+
+// InEpoch returns the revision with the given number in an epoch, and false if the number
+// is out of range.
+func (r Revision) InEpoch(e StoreEpoch) (Revision, bool) {
+	return Revision(e)<<epochShift | r.Number(), r == r.Number()
+}
+
+// Epoch returns the epoch of the revision.
+func (r Revision) Epoch() StoreEpoch {
+	return StoreEpoch(r >> epochShift)
+}
+
+// Number returns the revision as the store counts it within the epoch.
+func (r Revision) Number() Revision {
+	return r & (1<<epochShift - 1)
+}
+
+// String returns the decimal form of the revision. That of a later epoch begins with it.
 func (r Revision) String() string {
-	return strconv.FormatUint(uint64(r), 10)
+	number := strconv.FormatUint(uint64(r.Number()), 10)
+	if r.Epoch() == 0 {
+		return number
+	}
+	return strconv.FormatUint(uint64(r.Epoch()), 10) + ":" + number
 }
 
 // FencingToken puts the orders to an engine in sequence. An engine that checks
--- a/installation/fleet_test.go
+++ b/installation/fleet_test.go
@@ -54,7 +54,7 @@
 	defer g.mu.Unlock()
 	g.endpoints = make(knapweedpulley.Set[knapweedpulley.EndpointID])
 	for _, e := range list {
-		if !e.Evacuated {
+		if !e.Draining && !e.Evacuated {
 			g.endpoints.Add(e.ID)
 		}
 	}
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -113,6 +113,7 @@
 	invalid knapweedpulley.Set[knapweedpulley.EndpointID]
 	// evacuated holds the evacuated zones, whether or not they contain an endpoint.
 	evacuated knapweedpulley.Set[knapweedpulley.ZoneID]
+	copies    copyGuard
 }
 
 // NewFollower starts to follow an installation. The clean-up stops that.
@@ -128,6 +129,7 @@
 		missing:            make(knapweedpulley.Set[knapweedpulley.EndpointID]),
 		invalid:            make(knapweedpulley.Set[knapweedpulley.EndpointID]),
 		evacuated:          make(knapweedpulley.Set[knapweedpulley.ZoneID]),
+		copies:             newCopyGuard(),
 	}
 	collections := []configuration.Collection{
 		{
@@ -154,7 +156,10 @@
 		Collections: collections,
 	})
 	f.Configuration = replica
-	stopRemoval := machine.Every(missingCheckPeriod, f.removeMissing)
+	stopRemoval := machine.Every(missingCheckPeriod, func() {
+		f.removeMissing()
+		f.endCopies()
+	})
 	return f, func() {
 		stopReplica()
 		stopRemoval()
@@ -202,7 +207,7 @@
 	}
 	i, err := f.decoder.Installation(o.Value)
 	if err != nil {
-		f.log.WithField("revision", o.Revision).WithError(err).Error("configuration can't be decoded, keeping the last one")
+		f.log.WithField("revision", o.Revision.String()).WithError(err).Error("configuration can't be decoded, keeping the last one")
 		return false
 	}
 	last := f.current.Load()
@@ -216,7 +221,7 @@
 		close(last.replaced)
 	}
 	f.republishEndpoints()
-	f.log.WithField("version", i.Version).WithField("revision", o.Revision).
+	f.log.WithField("version", i.Version).WithField("revision", o.Revision.String()).
 		WithField("routes", len(i.Routes)).WithField("customers", len(i.Accounts)).Info("configuration in force")
 	f.onConfiguration(s)
 	return true
@@ -225,10 +230,14 @@
 func (f *Follower) changeEndpoints(changes []knapweedpulley.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	copied := firstOfEpoch(&f.copies.endpoints, changes)
 	for _, c := range changes {
-		if c.Deleted {
+		switch fromCopy := copied(c); {
+		case c.Deleted:
 			f.removeEndpoint(knapweedpulley.EndpointID(c.Name))
-		} else {
+		case fromCopy:
+			f.registerCopied(c.Object)
+		default:
 			f.registerEndpoint(c.Object)
 		}
 	}
@@ -239,7 +248,14 @@
 func (f *Follower) changeEvacuations(changes []knapweedpulley.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	copied := firstOfEpoch(&f.copies.evacuations, changes)
 	for _, c := range changes {
+		zone := knapweedpulley.ZoneID(c.Name)
+		delete(f.copies.unconfirmed, zone)
+		if copied(c) && c.Deleted && f.evacuated.Has(zone) {
+			f.copies.unconfirmed[zone] = f.clock.Now().Add(reregistrationGrace)
+			continue
+		}
 		f.changeEvacuation(c)
 	}
 	f.publishEndpoints()
@@ -256,7 +272,7 @@
 			contained++
 		}
 	}
-	entry := f.log.WithField("zone", zone).WithField("revision", c.Revision).WithField("endpoints", contained)
+	entry := f.log.WithField("zone", zone).WithField("revision", c.Revision.String()).WithField("endpoints", contained)
 	if c.Deleted {
 		if f.evacuated.Has(zone) {
 			f.evacuated.Remove(zone)
@@ -283,6 +299,7 @@
 func (f *Follower) registerEndpoint(o knapweedpulley.Object) {
 	id := knapweedpulley.EndpointID(o.Name)
 	f.missing.Remove(id)
+	delete(f.copies.withheld, id)
 	e, err := f.decoder.Endpoint(id, o.Value)
 	if err != nil {
 		delete(f.endpoints, id)
@@ -294,7 +311,7 @@
 	last, known := f.endpoints[id]
 	if !known || last.Start != e.Start || last.Draining != e.Draining {
 		f.log.WithField("endpoint", id).WithField("address", e.Address).WithField("start", e.Start).
-			WithField("draining", e.Draining).WithField("revision", o.Revision).Info("endpoint registered")
+			WithField("draining", e.Draining).WithField("revision", o.Revision.String()).Info("endpoint registered")
 	}
 	f.endpoints[id] = e
 }
@@ -310,7 +327,7 @@
 	// The reason may quote any length of the registration.
 	reason := err.Error()
 	reason = reason[:min(len(reason), maxReasonLength)]
-	f.log.WithField("endpoint", id).WithField("revision", o.Revision).WithField("error", reason).
+	f.log.WithField("endpoint", id).WithField("revision", o.Revision.String()).WithField("error", reason).
 		Warn("invalid endpoint registration, not using the endpoint")
 }
 
@@ -319,6 +336,7 @@
 // back: its endpoint is kept, unless it is draining. The caller holds mu.
 func (f *Follower) removeEndpoint(id knapweedpulley.EndpointID) {
 	f.invalid.Remove(id)
+	delete(f.copies.withheld, id)
 	e, known := f.endpoints[id]
 	if !known || f.missing.Has(id) {
 		return
@@ -329,6 +347,7 @@
 		return
 	}
 	delete(f.endpoints, id)
+	f.copies.recordDeparture(e, f.clock.Now())
 	f.log.WithField("endpoint", id).Info("endpoint removed")
 }
 
@@ -349,6 +368,7 @@
 	}
 	for id := range f.missing {
 		f.missing.Remove(id)
+		f.copies.recordDeparture(f.endpoints[id], f.clock.Now())
 		delete(f.endpoints, id)
 		f.log.WithField("endpoint", id).Info("endpoint removed, as it did not register again after the store outage")
 	}
--- a/store.go
+++ b/store.go
@@ -70,7 +70,8 @@
 	// ErrConnectionLost means that a read was sent over an established connection that
 	// delivered no whole answer. It doesn't say whether the store is available.
 	ErrConnectionLost = errors.New("the connection delivered no answer")
-	// ErrCompacted means that a watch asked for changes the store no longer has.
+	// ErrCompacted means that a watch asked for changes the store no longer has, or that
+	// the store has begun another epoch.
 	ErrCompacted = errors.New("changes since the revision are no longer kept")
 )
 
@@ -101,8 +102,11 @@
 }
 
 // StoreCodec encodes the calls to a store and decodes its answers. It makes no
-// decisions.
+// decisions. Its revisions are those that the store counts, without an epoch.
 type StoreCodec interface {
+	// EpochHeader returns the name of the header field in which the store states its
+	// epoch, or an empty name if it states none.
+	EpochHeader() string
 	// Get encodes a read of an object.
 	Get(kind Kind, name string) StoreCall
 	// List encodes a read of the objects of a collection whose names sort after
--- a/store/client.go
+++ b/store/client.go
@@ -116,31 +116,34 @@
 
 // Get implements knapweedpulley.ObjectStore.
 func (c *Client) Get(ctx context.Context, kind knapweedpulley.Kind, name string) (knapweedpulley.Object, error) {
-	body, err := c.read(ctx, c.timeout, c.codec.Get(kind, name))
+	a, err := c.read(ctx, c.timeout, c.codec.Get(kind, name))
 	if err != nil {
 		return knapweedpulley.Object{}, errors.Wrapf(err, "get %s/%s", kind, name)
 	}
-	return c.codec.Object(kind, body)
+	o, err := c.codec.Object(kind, a.body)
+	if err != nil {
+		return knapweedpulley.Object{}, err
+	}
+	return o, a.addEpoch(&o.Revision)
 }
 
 // List implements knapweedpulley.ObjectStore. The pages of a listing may have
 // different revisions. List returns that of the first page, so that a watch from
-// there misses no change.
+// there misses no change. It fails if the store begins another epoch meanwhile.
 func (c *Client) List(ctx context.Context, kind knapweedpulley.Kind) (knapweedpulley.Listing, error) {
 	var result knapweedpulley.Listing
 	afterName := ""
 	for {
-		body, err := c.read(ctx, c.timeout, c.codec.List(kind, afterName))
-		if err != nil {
-			return knapweedpulley.Listing{}, errors.Wrapf(err, "list %s", kind)
-		}
-		page, more, err := c.codec.Listing(kind, body)
+		page, more, err := c.listPage(ctx, kind, afterName)
 		if err != nil {
 			return knapweedpulley.Listing{}, errors.Wrapf(err, "list %s", kind)
 		}
 		if afterName == "" {
 			result.Revision = page.Revision
 		}
+		if page.Revision.Epoch() != result.Revision.Epoch() {
+			return knapweedpulley.Listing{}, errors.Newf("list %s: the store has begun epoch %d meanwhile", kind, page.Revision.Epoch())
+		}
 		result.Objects = append(result.Objects, page.Objects...)
 		next, continues := more.Get()
 		if !continues {
@@ -153,22 +156,54 @@
 	}
 }
 
-// Watch implements knapweedpulley.ObjectStore.
+// listPage returns the page of a listing after a name, and the name after which the listing continues.
+func (c *Client) listPage(
+	ctx context.Context, kind knapweedpulley.Kind, afterName string,
+) (knapweedpulley.Listing, knapweedpulley.Option[string], error) {
+	none := knapweedpulley.None[string]()
+	a, err := c.read(ctx, c.timeout, c.codec.List(kind, afterName))
+	if err != nil {
+		return knapweedpulley.Listing{}, none, err
+	}
+	page, more, err := c.codec.Listing(kind, a.body)
+	if err != nil {
+		return knapweedpulley.Listing{}, none, err
+	}
+	err = a.addEpoch(&page.Revision)
+	for i := range page.Objects {
+		err = errors.CombineErrors(err, a.addEpoch(&page.Objects[i].Revision))
+	}
+	return page, more, err
+}
+
+// Watch implements knapweedpulley.ObjectStore. In another epoch than that of the given revision, the
+// store may have assigned the revision to another change, so the changes after it say nothing.
 func (c *Client) Watch(
 	ctx context.Context, kind knapweedpulley.Kind, after knapweedpulley.Revision, wait time.Duration,
 ) ([]knapweedpulley.Change, knapweedpulley.Revision, error) {
-	body, err := c.read(ctx, c.timeout+wait, c.codec.Watch(kind, after, wait))
+	a, err := c.read(ctx, c.timeout+wait, c.codec.Watch(kind, after.Number(), wait))
 	if err != nil {
 		return nil, 0, errors.Wrapf(err, "watch %s", kind)
 	}
-	return c.codec.Changes(kind, body)
+	if a.epoch != after.Epoch() {
+		return nil, 0, errors.Wrapf(knapweedpulley.ErrCompacted, "watch %s: the store is in epoch %d, not %d", kind, a.epoch, after.Epoch())
+	}
+	changes, revision, err := c.codec.Changes(kind, a.body)
+	if err != nil {
+		return nil, 0, err
+	}
+	err = a.addEpoch(&revision)
+	for i := range changes {
+		err = errors.CombineErrors(err, a.addEpoch(&changes[i].Revision))
+	}
+	return changes, revision, err
 }
 
 // Put implements knapweedpulley.ObjectStore.
 func (c *Client) Put(
 	ctx context.Context, kind knapweedpulley.Kind, name string, value []byte, expected knapweedpulley.Revision,
 ) (knapweedpulley.Revision, error) {
-	revision, err := c.write(ctx, c.codec.Put(kind, name, value, expected))
+	revision, err := c.write(ctx, c.codec.Put(kind, name, value, expected.Number()))
 	return revision, errors.Wrapf(err, "put %s/%s", kind, name)
 }
 
@@ -176,36 +211,52 @@
 func (c *Client) Delete(
 	ctx context.Context, kind knapweedpulley.Kind, name string, expected knapweedpulley.Revision,
 ) (knapweedpulley.Revision, error) {
-	revision, err := c.write(ctx, c.codec.Delete(kind, name, expected))
+	revision, err := c.write(ctx, c.codec.Delete(kind, name, expected.Number()))
 	return revision, errors.Wrapf(err, "delete %s/%s", kind, name)
 }
 
 // Machines implements knapweedpulley.MachineList.
 func (c *Client) Machines(ctx context.Context) (knapweedpulley.MachineListing, error) {
-	body, err := c.read(ctx, c.timeout, knapweedpulley.StoreCall{Method: http.MethodGet, Target: "/machines"})
+	a, err := c.read(ctx, c.timeout, knapweedpulley.StoreCall{Method: http.MethodGet, Target: "/machines"})
 	if err != nil {
 		return knapweedpulley.MachineListing{}, errors.Wrap(err, "list machines")
 	}
 	var l machineList
-	err = decode(body, &l)
+	err = decode(a.body, &l)
 	return l.listing(), err
 }
 
-// read sends a call that changes nothing and returns the body of the answer. If a connection was
+// answer is an answer of the store to a call that it carried out.
+type answer struct {
+	body  []byte
+	epoch knapweedpulley.StoreEpoch
+}
+
+// addEpoch adds the epoch of the answer to one of its revisions.
+func (a answer) addEpoch(r *knapweedpulley.Revision) error {
+	revision, valid := r.InEpoch(a.epoch)
+	if !valid {
+		return errors.Newf("revision %d of the store is out of range", uint64(*r))
+	}
+	*r = revision
+	return nil
+}
+
+// read sends a call that changes nothing and returns the answer. If a connection was
 // established and delivers no answer, the error is knapweedpulley.ErrConnectionLost.
-func (c *Client) read(ctx context.Context, timeout time.Duration, call knapweedpulley.StoreCall) ([]byte, error) {
+func (c *Client) read(ctx context.Context, timeout time.Duration, call knapweedpulley.StoreCall) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ctx, connected := traceConnection(ctx)
 	r, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Target, http.NoBody)
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+		return answer{}, errors.Wrap(err, "build request")
 	}
-	body, err := c.call(c.reads, r)
+	a, err := c.call(c.reads, r)
 	if errors.Is(err, errNoAnswer) && connected.Load() {
-		return nil, errors.Mark(err, knapweedpulley.ErrConnectionLost)
+		return answer{}, errors.Mark(err, knapweedpulley.ErrConnectionLost)
 	}
-	return body, err
+	return a, err
 }
 
 // traceConnection returns a context for a request, and a value that becomes true once the request
@@ -235,10 +286,13 @@
 		r.Header.Set(h.Name, h.Value)
 	}
 	var revision knapweedpulley.Revision
-	body, err := c.call(c.writes, r)
+	a, err := c.call(c.writes, r)
 	if err == nil {
 		// An answer without a length may be cut.
-		revision, err = c.codec.Written(body)
+		revision, err = c.codec.Written(a.body)
+	}
+	if err == nil {
+		err = a.addEpoch(&revision)
 	}
 	switch {
 	case err == nil:
@@ -259,18 +313,32 @@
 	errNoAnswer = errors.New("no answer from the store")
 )
 
-// call sends a request once and returns the body of the answer.
-func (c *Client) call(service httpc.Service, r *http.Request) ([]byte, error) {
+// call sends a request once and returns the answer.
+func (c *Client) call(service httpc.Service, r *http.Request) (answer, error) {
 	response, err := service.DoRequest(r)
 	if err != nil {
-		return nil, c.noAnswer(err, "call store")
+		return answer{}, c.noAnswer(err, "call store")
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerSize))
 	if err != nil {
-		return nil, c.noAnswer(err, "read store answer")
+		return answer{}, c.noAnswer(err, "read store answer")
+	}
+	if err := errorOf(response.StatusCode, body); err != nil {
+		return answer{}, err
+	}
+	epoch, err := c.epochOf(response.Header)
+	return answer{body: body, epoch: epoch}, err
+}
+
+// epochOf returns the epoch that the store states in an answer, zero if it states none.
+func (c *Client) epochOf(h http.Header) (knapweedpulley.StoreEpoch, error) {
+	text := h.Get(c.codec.EpochHeader())
+	if text == "" {
+		return 0, nil
 	}
-	return body, errorOf(response.StatusCode, body)
+	epoch, err := strconv.ParseUint(text, 10, 16)
+	return knapweedpulley.StoreEpoch(epoch), errors.Wrap(err, "decode the epoch of the store")
 }
 
 // noAnswer returns the error of a call without a whole answer. It closes the idle connections, because
--- a/store/codec.go
+++ b/store/codec.go
@@ -17,6 +17,11 @@
 // stand-in for the store uses.
 type codec struct{}
 
+// EpochHeader implements knapweedpulley.StoreCodec.
+func (codec) EpochHeader() string {
+	return ""
+}
+
 // Get implements knapweedpulley.StoreCodec.
 func (codec) Get(kind knapweedpulley.Kind, name string) knapweedpulley.StoreCall {
 	return knapweedpulley.StoreCall{Method: http.MethodGet, Target: objectTarget(kind, name)}
--- a/store/fake/store.go
+++ b/store/fake/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -100,6 +101,34 @@
 	s.changes, s.compacted = nil, s.revision
 }
 
+// Copy is a copy of a store's content.
+type Copy struct {
+	objects  map[objectKey]knapweedpulley.Object
+	revision knapweedpulley.Revision
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{objects: maps.Clone(s.objects), revision: s.revision}
+}
+
+// Restore replaces the content with a copy and begins another epoch. Writes since the copy are lost.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	epoch := s.revision.Epoch() + 1
+	s.revision, _ = c.revision.Number().InEpoch(epoch)
+	s.objects = make(map[objectKey]knapweedpulley.Object, len(c.objects))
+	for key, o := range c.objects {
+		o.Revision, _ = o.Revision.Number().InEpoch(epoch)
+		s.objects[key] = o
+	}
+	s.changes, s.compacted = nil, s.revision
+	s.broadcast()
+}
+
 // Calls returns how often calls of kind c were made.
 func (s *Store) Calls(c Call) int {
 	s.mu.Lock()
@@ -253,7 +282,7 @@
 	if s.down {
 		return nil, 0, nil, ErrDown
 	}
-	if after < s.compacted {
+	if after < s.compacted || after.Epoch() != s.revision.Epoch() {
 		return nil, 0, nil, knapweedpulley.ErrCompacted
 	}
 	var changes []knapweedpulley.Change
