Keep an object's odd revision from hiding the others

A revision out of range made the whole listing fail since. Such an object now has no value, as one whose revision can't be read. Also names the field of the watcher after what it holds: that the last request failed, with or without an answer.

Evidence: platform.TestRevisionsOfTwoErasDiffer, "an object whose revision is out of range costs no other", fails without the change.

--- a/configuration/watch.go
+++ b/configuration/watch.go
@@ -39,9 +39,9 @@
 	// answeringSince is the end of the last failure of the store that the watcher knows of. Without one,
 	// it is the time of the evidence with which the watch began. It is zero while the store fails.
 	answeringSince knapweedpulley.Instant
-	// unanswered is set if the last request got no answer. The next one doesn't wait for changes, so
-	// that it tells at once whether the store answers.
-	unanswered bool
+	// lastFailed is set if the last request failed. The next one doesn't wait for changes, so that it
+	// tells at once whether the store answers.
+	lastFailed bool
 	// connectionLost is when a connection to the store last delivered no answer.
 	connectionLost knapweedpulley.Instant
 	// failing is set while the store fails, compacted if the last request met compacted changes.
@@ -70,14 +70,14 @@
 		switch {
 		case err == nil:
 			w.setFailing(nil)
-		case errors.Is(err, knapweedpulley.ErrConnectionLost) && !w.unanswered:
+		case errors.Is(err, knapweedpulley.ErrConnectionLost) && !w.lastFailed:
 			w.connectionFailed(ctx, err)
 		default:
 			w.setFailing(err)
 			w.answeringSince = 0
 			w.pauseSince(ctx, sent)
 		}
-		w.unanswered = err != nil
+		w.lastFailed = err != nil
 	}
 }
 
@@ -172,7 +172,7 @@
 func (w *tableWatcher) awaitChanges(ctx context.Context, sent knapweedpulley.Instant) error {
 	before := w.table.View()
 	wait := w.watchWait(w.table)
-	if w.unanswered {
+	if w.lastFailed {
 		wait = 0
 	}
 	changes, revision, err := w.objects.Watch(ctx, w.table.kind, before.Revision, wait)
--- a/store/client.go
+++ b/store/client.go
@@ -121,10 +121,8 @@
 		return knapweedpulley.Object{}, errors.Wrapf(err, "get %s/%s", kind, name)
 	}
 	o, err := c.codec.Object(kind, a.body)
-	if err != nil {
-		return knapweedpulley.Object{}, err
-	}
-	return o, a.addEpoch(&o.Revision)
+	a.addEpochTo(&o)
+	return o, err
 }
 
 // List implements knapweedpulley.ObjectStore. The pages of a listing may have
@@ -169,11 +167,10 @@
 	if err != nil {
 		return knapweedpulley.Listing{}, none, err
 	}
-	err = a.addEpoch(&page.Revision)
 	for i := range page.Objects {
-		err = errors.CombineErrors(err, a.addEpoch(&page.Objects[i].Revision))
+		a.addEpochTo(&page.Objects[i])
 	}
-	return page, more, err
+	return page, more, a.addEpoch(&page.Revision)
 }
 
 // Watch implements knapweedpulley.ObjectStore. In another epoch than that of the given revision, the
@@ -192,11 +189,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	err = a.addEpoch(&revision)
 	for i := range changes {
-		err = errors.CombineErrors(err, a.addEpoch(&changes[i].Revision))
+		a.addEpochTo(&changes[i].Object)
 	}
-	return changes, revision, err
+	return changes, revision, a.addEpoch(&revision)
 }
 
 // Put implements knapweedpulley.ObjectStore.
@@ -242,6 +238,15 @@
 	return nil
 }
 
+// addEpochTo adds the epoch of the answer to the revision of an object. An object whose revision is out of
+// range has no value.
+func (a answer) addEpochTo(o *knapweedpulley.Object) {
+	if a.addEpoch(&o.Revision) != nil {
+		o.Revision, o.Value = 0, nil
+		_ = a.addEpoch(&o.Revision)
+	}
+}
+
 // read sends a call that changes nothing and returns the answer. If a connection was
 // established and delivers no answer, the error is knapweedpulley.ErrConnectionLost.
 func (c *Client) read(ctx context.Context, timeout time.Duration, call knapweedpulley.StoreCall) (answer, error) {
