--- a/configuration/doc.go
+++ b/configuration/doc.go
@@ -21,6 +21,12 @@
 // clock when the ping arrived. The translation can only make the content look older
 // than it is.
 //
+// A gap in the evidence alone is no outage of the store. If a connection delivers no
+// answer, the next request is sent over another one and doesn't wait for changes. Only
+// if that fails as well does the store count as failing, and [Evidence] tells the owner
+// since when it has answered again. An outage also precedes each epoch that the store
+// begins when it comes back from an older copy of its content.
+//
 // # Usage
 //
 //	c, cleanup := configuration.New(configuration.Options{
--- a/installation/follower.go
+++ b/installation/follower.go
@@ -8,8 +8,10 @@
 // the newest configuration that it has received and ignores older ones. During a
 // store outage it keeps the last known state. An endpoint whose registration
 // vanished in an outage stays usable for a grace period after the outage, within
-// which running endpoints register again. A [Snapshot] is one version of the
-// configuration, and admits calls.
+// which running endpoints register again. So does one that is missing after the
+// store has come back from an older copy of its content; a registration in the copy
+// doesn't bring back an endpoint that is known to leave. A [Snapshot] is one version
+// of the configuration, and admits calls.
 //
 // If Options.Evacuations is set, it also follows the availability zones that the
 // operator has evacuated, and marks the endpoints of these zones. A zone is evacuated
--- a/store/doc.go
+++ b/store/doc.go
@@ -7,6 +7,12 @@
 // back, recognizes its change there, and writes again until an attempt is known to
 // have taken effect or to have come after another write.
 //
+// A read over an established connection that delivers no answer fails with
+// knapweedpulley.ErrConnectionLost: the connection may be at fault and not the store.
+// A store that has come back from an older copy of its content states another epoch,
+// which becomes part of the revisions. A watch from a revision of another epoch fails
+// with knapweedpulley.ErrCompacted.
+//
 // # Usage
 //
 //	objects, cleanup, err := store.NewClient(store.Settings{Address: "127.0.0.1:7100"})
